Add the design page, the error table and the shared types

The packages that the rest of the fleet is built on: fault, board, wire, note's types and the platform client. pick, limit and idem hold only their signatures so far.

--- /dev/null
+++ b/note/release.go
@@ -0,0 +1,180 @@
+// Package note holds releases and the release notes that change them: the JSON
+// formats, their validation, and how a note is applied.
+package note
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Duration is a time span written in JSON as Go writes it, such as "1.5s".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return err
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	*d = Duration(span)
+	return nil
+}
+
+// Server is one backend server of a service.
+type Server struct {
+	Addr    string `json:"addr"` // "ip:port".
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"` // Requests that it runs at once.
+	Conns   int    `json:"conns"` // Connections that it accepts.
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Profiles of Detection.
+const (
+	ProfileFast   = "fast"   // Short detection time.
+	ProfileSteady = "steady" // Few false ejections.
+)
+
+// Detection says how a service weighs detection time against false ejections.
+type Detection struct {
+	Profile string `json:"profile"`
+	// Bias moves the service along the trade within its profile: 0 favours
+	// detection time, 1 few false ejections.
+	Bias float64 `json:"bias"`
+}
+
+// Limits bounds what a service may use.
+type Limits struct {
+	Queue  int     `json:"queue"`  // Requests that wait on one VM at most.
+	Body   int64   `json:"body"`   // Request body, in bytes.
+	Answer int64   `json:"answer"` // Response body, in bytes.
+	Retry  float64 `json:"retry"`  // Retries and hedges as a share of requests, 0 to 1.
+	Hedge  bool    `json:"hedge"`
+}
+
+// Probe says how backend servers are probed.
+type Probe struct {
+	Path   string   `json:"path"`
+	Period Duration `json:"period"`
+}
+
+// Values of Service.Echo.
+const (
+	EchoRequired = "required" // An answer without the request id is a mismatch.
+	EchoChecked  = "checked"  // The id is checked where the answer carries one.
+)
+
+// Service is a group of backend servers with its rules.
+type Service struct {
+	Name      string    `json:"name"`
+	Servers   []Server  `json:"servers"`
+	Floor     int       `json:"floor"` // Backend servers that ejection must leave.
+	Detection Detection `json:"detection"`
+	Limits    Limits    `json:"limits"`
+	Deadline  Duration  `json:"deadline"`
+	Probe     Probe     `json:"probe"`
+	Echo      string    `json:"echo"`
+}
+
+// Values of Route.Key.
+const (
+	KeyRequired = "required"
+	KeyOptional = "optional"
+)
+
+// Values of Class, from first to last served.
+const (
+	ClassUrgent = "urgent"
+	ClassNormal = "normal"
+	ClassBulk   = "bulk"
+)
+
+// Route maps requests to a service.
+type Route struct {
+	Name       string   `json:"name"`
+	Service    string   `json:"service"`
+	Host       string   `json:"host,omitempty"` // Empty matches any host.
+	Path       string   `json:"path"`           // Exact, or a prefix when it ends in "/*".
+	Methods    []string `json:"methods"`
+	Idempotent bool     `json:"idempotent"`
+	Key        string   `json:"key,omitempty"`      // Only for a non-idempotent route.
+	Deadline   Duration `json:"deadline,omitempty"` // 0 takes the service's.
+	Class      string   `json:"class"`
+}
+
+// Account is one caller account.
+type Account struct {
+	Name   string  `json:"name"`
+	Digest string  `json:"digest"` // SHA-256 of the token, hex.
+	Rate   float64 `json:"rate"`   // Requests a second on one VM.
+	Burst  int     `json:"burst"`
+	Class  string  `json:"class,omitempty"` // Caps the class of its requests.
+}
+
+// Release is an immutable configuration with its generation.
+type Release struct {
+	generation uint64
+	services   map[string]Service
+	routes     map[string]Route
+	accounts   map[string]Account
+}
+
+// NewRelease returns a release that holds copies of the given lists. A later
+// item replaces an earlier one of the same name.
+func NewRelease(generation uint64, services []Service, routes []Route, accounts []Account) *Release {
+	r := &Release{
+		generation: generation,
+		services:   make(map[string]Service, len(services)),
+		routes:     make(map[string]Route, len(routes)),
+		accounts:   make(map[string]Account, len(accounts)),
+	}
+	for _, s := range services {
+		r.services[s.Name] = s
+	}
+	for _, t := range routes {
+		r.routes[t.Name] = t
+	}
+	for _, a := range accounts {
+		r.accounts[a.Name] = a
+	}
+	return r
+}
+
+// Generation returns the number of the release; it grows by one with each
+// accepted note.
+func (r *Release) Generation() uint64 { return r.generation }
+
+// Service returns the service of that name.
+func (r *Release) Service(name string) (Service, bool) {
+	s, ok := r.services[name]
+	return s, ok
+}
+
+// Services returns all services, sorted by name.
+func (r *Release) Services() []Service { return sorted(r.services) }
+
+// Routes returns all routes, sorted by name.
+func (r *Release) Routes() []Route { return sorted(r.routes) }
+
+// Accounts returns all accounts, sorted by name.
+func (r *Release) Accounts() []Account { return sorted(r.accounts) }
+
+func sorted[T any](m map[string]T) []T {
+	out := make([]T, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[name])
+	}
+	return out
+}
--- /dev/null
+++ b/store/memory.go
@@ -0,0 +1,116 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/azuredeal/azuredeal/fault"
+)
+
+const memoryWait = 10 * time.Second // Longest wait of a watch.
+
+// Memory keeps objects in memory. It backs the stand-in platform and tests.
+type Memory struct {
+	mu      sync.Mutex
+	objects map[string]Object
+	next    Version
+	changed chan struct{} // Closed and replaced at every write.
+	vms     []VM
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{objects: map[string]Object{}, changed: make(chan struct{})}
+}
+
+// Client returns a client of the store.
+func (m *Memory) Client() *Client {
+	return &Client{Get: m.get, Put: m.put, Delete: m.remove, List: m.list, Watch: m.watch, VMs: m.listVMs}
+}
+
+// SetVMs replaces the list of VMs.
+func (m *Memory) SetVMs(vms []VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.vms = slices.Clone(vms)
+}
+
+func (m *Memory) get(_ context.Context, name string) (Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.objects[name], nil
+}
+
+func (m *Memory) put(_ context.Context, name string, value []byte, cond Version) (Version, error) {
+	if len(value) > MaxValue {
+		return 0, fault.New(fault.Invalid, "value of %d bytes exceeds %d", len(value), MaxValue)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if got := m.objects[name].Version; got != cond {
+		return 0, fault.New(fault.Conflict, "object is at version %d, not %d", got, cond)
+	}
+	m.next++
+	m.objects[name] = Object{Value: slices.Clone(value), Version: m.next}
+	m.wake()
+	return m.next, nil
+}
+
+func (m *Memory) remove(_ context.Context, name string, cond Version) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if got := m.objects[name].Version; got != cond {
+		return fault.New(fault.Conflict, "object is at version %d, not %d", got, cond)
+	}
+	delete(m.objects, name)
+	m.wake()
+	return nil
+}
+
+// wake lets every waiting watch look again. The caller holds the lock.
+func (m *Memory) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Memory) list(_ context.Context, prefix string) ([]Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Entry
+	for name, o := range m.objects {
+		if strings.HasPrefix(name, prefix) {
+			out = append(out, Entry{Name: name, Version: o.Version})
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return out, nil
+}
+
+func (m *Memory) watch(ctx context.Context, name string, after Version) (Object, error) {
+	timer := time.NewTimer(memoryWait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		o, changed := m.objects[name], m.changed
+		m.mu.Unlock()
+		if o.Version > after {
+			return o, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return o, nil
+		case <-ctx.Done():
+			return Object{}, fault.Wrap(fault.PlatformDown, ctx.Err(), "watch")
+		}
+	}
+}
+
+func (m *Memory) listVMs(context.Context) ([]VM, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.vms), nil
+}
