Add connections to backend servers and the request path

pool runs one exchange at a time on its own connections and knows when no byte was sent; proxy finds routes, admits requests and sends attempts.

--- /dev/null
+++ b/pool/link.go
@@ -0,0 +1,97 @@
+package pool
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const readBuffer = 4 << 10 // Bytes.
+
+var errHeaderSize = errors.New("response header is too large")
+
+// link is one connection with what is known of its current exchange.
+type link struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	since  time.Time // Idle since.
+	room   int64     // Bytes that may still be read, while a header is read.
+	sent   atomic.Int64
+	failed atomic.Bool // A write failed.
+}
+
+func newLink(conn net.Conn) *link {
+	l := &link{conn: conn}
+	l.reader = bufio.NewReaderSize(readSide{l}, readBuffer)
+	return l
+}
+
+// Write counts what reached the operating system, so that "no byte was sent"
+// is known after a failure.
+func (l *link) Write(b []byte) (int, error) {
+	n, err := l.conn.Write(b)
+	l.sent.Add(int64(n))
+	if err != nil {
+		l.failed.Store(true)
+	}
+	return n, err
+}
+
+func (l *link) close() { _ = l.conn.Close() }
+
+// limit bounds what may be read until unlimit. The buffer may read ahead of the
+// header, so its size is added.
+func (l *link) limit(n int64) { l.room = n + readBuffer }
+
+func (l *link) unlimit() { l.room = math.MaxInt64 }
+
+// readSide is the reading half of a link below its buffer.
+type readSide struct{ l *link }
+
+func (r readSide) Read(b []byte) (int, error) {
+	if r.l.room <= 0 {
+		return 0, errHeaderSize
+	}
+	if int64(len(b)) > r.l.room {
+		b = b[:r.l.room]
+	}
+	n, err := r.l.conn.Read(b)
+	r.l.room -= int64(n)
+	return n, err
+}
+
+// alive reports whether an idle connection is still open with nothing to read.
+// A backend server that closed it, or sent bytes that nobody asked for, makes
+// it unusable. The check does not block; connections without a file descriptor
+// count as alive.
+func (l *link) alive() bool {
+	sys, ok := l.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peek error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		var n int
+		n, _, peek = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if peek == nil {
+			peek = io.EOF
+			if n > 0 {
+				peek = errUnasked
+			}
+		}
+		return true
+	})
+	return err == nil && errors.Is(peek, syscall.EAGAIN)
+}
+
+var errUnasked = errors.New("bytes without a request")
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,236 @@
+// Package pool keeps connections to one backend server and runs one exchange at
+// a time on each. It writes HTTP/1.1 on its own connections, because
+// http.Transport resends some requests by itself when a kept connection turns
+// out to be closed.
+package pool
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/fault"
+)
+
+// Defaults of Options.
+const (
+	defaultConns   = 16
+	defaultIdle    = 30 * time.Second
+	defaultConnect = 500 * time.Millisecond // A connection takes about 1 ms.
+	defaultHeader  = 64 << 10               // Bytes.
+)
+
+// Options configures a pool. Zero values take defaults.
+type Options struct {
+	Service string        // For samples.
+	Conns   int           // Open connections at most, 16 by default.
+	Idle    time.Duration // An unused connection is closed after it, 30 s by default.
+	Connect time.Duration // Time limit to open a connection, 500 ms by default.
+	Header  int64         // Response header in bytes at most, 64 KiB by default.
+	// Dial opens a connection; net.Dialer by default.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Sample takes the outcome of each exchange that reached for the server.
+	Sample func(board.Sample)
+}
+
+// Pool holds the connections to one backend server.
+type Pool struct {
+	addr string
+	opts Options
+
+	mu      sync.Mutex
+	idle    []*link // Longest unused first.
+	open    int     // Connections, with those being opened.
+	count   int     // Exchanges in flight.
+	waiting *list.List
+	sweeper *time.Timer
+	closed  bool
+}
+
+// New returns a pool for the backend server at addr, "ip:port".
+func New(addr string, opts Options) *Pool {
+	if opts.Conns <= 0 {
+		opts.Conns = defaultConns
+	}
+	if opts.Idle <= 0 {
+		opts.Idle = defaultIdle
+	}
+	if opts.Connect <= 0 {
+		opts.Connect = defaultConnect
+	}
+	if opts.Header <= 0 {
+		opts.Header = defaultHeader
+	}
+	if opts.Dial == nil {
+		opts.Dial = new(net.Dialer).DialContext
+	}
+	if opts.Sample == nil {
+		opts.Sample = func(board.Sample) {}
+	}
+	return &Pool{addr: addr, opts: opts, waiting: list.New()}
+}
+
+// Addr returns the address of the backend server.
+func (p *Pool) Addr() string { return p.addr }
+
+// Flight returns how many exchanges are in flight and the start of the one that
+// has waited longest for the backend server. Time in which the reader of a
+// response does not read is not waiting; a read that waits counts from its own
+// start.
+func (p *Pool) Flight() board.Flight {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := board.Flight{Service: p.opts.Service, Server: p.addr, Count: p.count}
+	if first := p.waiting.Front(); first != nil {
+		f.Oldest = first.Value.(time.Time)
+	}
+	return f
+}
+
+// Conns returns how many connections are open and how many of them are idle.
+func (p *Pool) Conns() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle)
+}
+
+// Close closes idle connections now and each other one when its exchange ends.
+// Exchanges may still start after Close; their connections are not kept.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.closed = true
+	p.mu.Unlock()
+	for _, l := range idle {
+		l.close()
+	}
+}
+
+// acquire returns a kept connection, or opens one when fresh is set or none is
+// kept.
+func (p *Pool) acquire(ctx context.Context, fresh bool) (*link, error) {
+	for !fresh {
+		l := p.take()
+		if l == nil {
+			break
+		}
+		if l.alive() {
+			return l, nil
+		}
+		p.drop(l)
+	}
+	if !p.reserve() {
+		return nil, fault.New(fault.NoServer, "all %d connections to %s are in use", p.opts.Conns, p.addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.opts.Connect)
+	defer cancel()
+	conn, err := p.opts.Dial(ctx, "tcp", p.addr)
+	if err != nil {
+		p.release()
+		return nil, fault.Wrap(fault.Unreachable, err, "connect")
+	}
+	return newLink(conn), nil
+}
+
+// take removes the connection that was used last from the idle ones.
+func (p *Pool) take() *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := len(p.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	l := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	return l
+}
+
+// reserve makes room for one more connection, at the cost of an idle one when
+// the bound is reached.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < p.opts.Conns {
+		p.open++
+		return true
+	}
+	if len(p.idle) == 0 {
+		return false
+	}
+	p.idle[0].close()
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+func (p *Pool) drop(l *link) {
+	l.close()
+	p.release()
+}
+
+// keep makes a connection idle after a complete exchange.
+func (p *Pool) keep(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		l.close()
+		p.open--
+		return
+	}
+	l.since = time.Now()
+	p.idle = append(p.idle, l)
+	if p.sweeper == nil {
+		p.sweeper = time.AfterFunc(p.opts.Idle, p.sweep)
+	}
+}
+
+// sweep closes connections that were idle for too long and returns when none is
+// idle any more, so that an unused pool holds no timer.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for len(p.idle) > 0 && now.Sub(p.idle[0].since) >= p.opts.Idle {
+		p.idle[0].close()
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+	}
+	if len(p.idle) == 0 {
+		p.sweeper = nil
+		return
+	}
+	p.sweeper.Reset(p.opts.Idle - now.Sub(p.idle[0].since))
+}
+
+// wait notes that an exchange waits for the backend server from now on.
+func (p *Pool) wait(now time.Time, begin bool) *list.Element {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if begin {
+		p.count++
+	}
+	return p.waiting.PushBack(now)
+}
+
+// unwait notes that an exchange no longer waits.
+func (p *Pool) unwait(e *list.Element, end bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if end {
+		p.count--
+	}
+	if e != nil {
+		p.waiting.Remove(e)
+	}
+}
--- /dev/null
+++ b/pool/response.go
@@ -0,0 +1,76 @@
+package pool
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/fault"
+)
+
+var errClosed = errors.New("response was closed")
+
+// Response is the response of the backend server. Reading it to io.EOF proves
+// that it is whole.
+type Response struct {
+	exchange *exchange
+	head     *http.Response
+	err      error // What further reads return, once the exchange has ended.
+}
+
+// Status returns the HTTP status code.
+func (r *Response) Status() int { return r.head.StatusCode }
+
+// Header returns the header without fields of the connection.
+func (r *Response) Header() http.Header { return r.head.Header }
+
+// Length returns the length of the body in bytes, or -1 when it is not known.
+func (r *Response) Length() int64 { return r.head.ContentLength }
+
+// Read reads from the body. It returns io.EOF only at the proper end of the
+// body, and otherwise a fault of kind Truncated, Timeout or Canceled.
+func (r *Response) Read(b []byte) (int, error) {
+	x := r.exchange
+	if r.err != nil {
+		return 0, r.err
+	}
+	x.resume()
+	n, err := r.head.Body.Read(b)
+	switch {
+	case err == nil:
+		x.pause()
+		return n, nil
+	case errors.Is(err, io.EOF):
+		r.finish()
+		return n, io.EOF
+	}
+	kind, outcome, ok := x.over()
+	if !ok {
+		kind, outcome = fault.Truncated, board.Truncated
+	}
+	x.reuse = false
+	x.end(outcome)
+	r.err = fault.Wrap(kind, err, "response body")
+	return n, r.err
+}
+
+// Close ends the exchange. The connection is closed unless the body was read to
+// its end.
+func (r *Response) Close() error {
+	if r.err == nil {
+		r.err = errClosed
+		r.exchange.reuse = false
+		r.exchange.end(board.Canceled)
+	}
+	return nil
+}
+
+func (r *Response) finish() {
+	r.err = io.EOF
+	if r.Status() >= http.StatusInternalServerError {
+		r.exchange.end(board.Failure)
+		return
+	}
+	r.exchange.end(board.Success)
+}
--- /dev/null
+++ b/proxy/account.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/note"
+)
+
+type account struct {
+	name  string
+	rate  float64 // Requests a second.
+	burst int
+	class limit.Class // First class that its requests may have.
+}
+
+type accounts struct {
+	byDigest map[[sha256.Size]byte]*account
+	byName   map[string]*account
+}
+
+// newAccounts indexes the accounts; one whose digest is malformed cannot be used.
+func newAccounts(list []note.Account) *accounts {
+	out := &accounts{
+		byDigest: make(map[[sha256.Size]byte]*account, len(list)),
+		byName:   make(map[string]*account, len(list)),
+	}
+	for _, n := range list {
+		raw, err := hex.DecodeString(n.Digest)
+		if err != nil || len(raw) != sha256.Size {
+			continue
+		}
+		a := &account{name: n.Name, rate: n.Rate, burst: n.Burst}
+		if n.Class != "" {
+			a.class = classOf(n.Class)
+		}
+		out.byDigest[[sha256.Size]byte(raw)] = a
+		out.byName[n.Name] = a
+	}
+	return out
+}
+
+// byToken returns the account of a token. Only digests are compared, so the
+// time of the lookup tells nothing about tokens.
+func (a *accounts) byToken(token string) *account {
+	return a.byDigest[sha256.Sum256([]byte(token))]
+}
--- /dev/null
+++ b/proxy/attempt.go
@@ -0,0 +1,299 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/pick"
+	"github.com/azuredeal/azuredeal/pool"
+)
+
+const attemptsMost = 4 // Of one request, hedges included.
+
+// execute admits the call and dispatches it. The reply must be closed. With
+// whole set it is buffered to its end, whatever its length.
+func (c *call) execute(ctx context.Context, whole bool) (*reply, error) {
+	ask := limit.Ask{Class: c.class, Account: c.account, Deadline: c.deadline}
+	leave, err := c.service.queue.Enter(ctx, ask)
+	if err != nil {
+		return nil, notRun(err)
+	}
+	c.service.budget.Earn()
+	d := &dispatch{
+		call: c, ctx: ctx, whole: whole, stem: c.handler.newID(),
+		results: make(chan result, attemptsMost),
+	}
+	p, err := d.run()
+	if err != nil {
+		leave()
+		return nil, err
+	}
+	p.leave = leave
+	return p, nil
+}
+
+// run executes a keyed call; it is an idem.Run.
+func (c *call) run(ctx context.Context) (*idem.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	p, err := c.execute(ctx, true)
+	if err != nil {
+		return nil, err
+	}
+	defer p.close()
+	return idem.NewAnswer(p.status, p.header, p.body), nil
+}
+
+// notRun gives an error from before any attempt a kind that says "not run".
+func notRun(err error) error {
+	if fault.Of(err).Answer().Ran() == fault.No {
+		return err
+	}
+	return fault.Wrap(fault.DeadlineShort, err, "ended while waiting")
+}
+
+// result is how one attempt ended.
+type result struct {
+	reply *reply
+	err   error
+}
+
+// dispatch sends the attempts of one call.
+type dispatch struct {
+	call    *call
+	ctx     context.Context
+	whole   bool
+	stem    string // Of the request ids of attempts.
+	gate    gate
+	tried   []*pick.Target
+	cancels []context.CancelFunc // One for each attempt.
+	results chan result
+	pending int
+	spare   *reply // A whole response that reports a failure of the server.
+	doubt   error  // Of an attempt that may have run.
+}
+
+// run returns the first good reply, or an error that is accurate about whether
+// the request ran.
+func (d *dispatch) run() (*reply, error) {
+	winner := -1
+	defer func() { d.abandon(winner) }()
+	if !d.launch() {
+		return nil, d.settle(fault.New(fault.NoServer, "service %s", d.call.service.note.Name))
+	}
+	hedge, stop := d.hedgeTimer()
+	defer stop()
+	for {
+		select {
+		case r := <-d.results:
+			d.pending--
+			if p, err, done := d.take(r); done {
+				if p != nil {
+					winner = p.index
+				}
+				return p, err
+			}
+		case <-hedge:
+			hedge = nil
+			if d.pending == 1 && d.another() {
+				d.call.service.count.hedges.Inc()
+			}
+		case <-d.ctx.Done():
+			return nil, d.settle(fault.Wrap(fault.DeadlineShort, d.ctx.Err(), "no byte was sent"))
+		}
+	}
+}
+
+// take decides what follows from the end of an attempt.
+func (d *dispatch) take(r result) (*reply, error, bool) {
+	if r.err == nil && !d.failed(r.reply) {
+		return r.reply, nil, true
+	}
+	if r.err == nil {
+		d.keep(r.reply)
+	} else if fault.Of(r.err).Answer().Ran() != fault.No {
+		d.doubt = r.err
+	}
+	if d.pending > 0 {
+		return nil, nil, false
+	}
+	if d.retriable(r.err) && d.another() {
+		d.call.service.count.retries.Inc()
+		return nil, nil, false
+	}
+	if d.spare != nil {
+		p := d.spare
+		d.spare = nil
+		return p, nil, true
+	}
+	return nil, d.settle(r.err), true
+}
+
+// failed reports whether a reply is worth another attempt.
+func (d *dispatch) failed(p *reply) bool {
+	if !d.call.route.idempotent || p.rest != nil {
+		return false
+	}
+	switch p.status {
+	case http.StatusInternalServerError, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func (d *dispatch) keep(p *reply) {
+	if d.spare != nil {
+		d.spare.close()
+	}
+	d.spare = p
+}
+
+// retriable reports whether another attempt is allowed after one that ended
+// with err, or with a reply that failed when err is nil.
+func (d *dispatch) retriable(err error) bool {
+	if d.ctx.Err() != nil {
+		return false
+	}
+	if err == nil {
+		return true
+	}
+	switch kind := fault.Of(err); kind {
+	case fault.Unreachable, fault.ServerRefused, fault.NoServer:
+		return true
+	case fault.Interrupted, fault.Truncated, fault.Mismatch:
+		return d.call.route.idempotent
+	default:
+		return false
+	}
+}
+
+// another launches a further attempt when the budget and the servers allow it.
+func (d *dispatch) another() bool {
+	if len(d.tried) >= attemptsMost || !d.call.handler.spend(d.call.service.budget) {
+		return false
+	}
+	return d.launch()
+}
+
+// launch starts an attempt at a server that was not tried.
+func (d *dispatch) launch() bool {
+	c := d.call
+	t := c.handler.choose(c.service.picker, d.tried)
+	if t == nil {
+		return false
+	}
+	v := c.handler.current(c.service, t)
+	if v == nil {
+		return false
+	}
+	index := len(d.tried)
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.tried = append(d.tried, t)
+	d.cancels = append(d.cancels, cancel)
+	d.pending++
+	go func() {
+		p, err := d.attempt(ctx, cancel, v, index)
+		d.results <- result{p, err}
+	}()
+	return true
+}
+
+// attempt runs one exchange and reads the response.
+func (d *dispatch) attempt(ctx context.Context, cancel context.CancelFunc, v *server, index int) (*reply, error) {
+	c := d.call
+	id := d.stem + "-" + strconv.Itoa(index)
+	sent := false
+	req := &pool.Request{
+		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
+		Header: c.header.Clone(), ID: id, Echo: c.service.note.Echo,
+		Fresh: !c.route.idempotent,
+		Send: func() bool {
+			sent = d.pass(ctx)
+			return sent
+		},
+	}
+	left := max(0, time.Until(c.deadline))
+	req.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	v.target.Begin()
+	p := &reply{index: index, cancel: cancel, target: v.target}
+	resp, err := v.pool.Do(ctx, req)
+	if err == nil {
+		err = p.read(resp, d.whole, c.service.answerLimit())
+	}
+	if err == nil {
+		return p, nil
+	}
+	p.close()
+	if sent && fault.Of(err).Answer().Ran() == fault.No {
+		d.gate.unsend()
+	}
+	return nil, err
+}
+
+// pass lets an attempt send its first byte. Deadline and context are checked
+// here, because the process may have been frozen since the attempt began.
+func (d *dispatch) pass(ctx context.Context) bool {
+	if ctx.Err() != nil || past(d.call.deadline) {
+		return false
+	}
+	return d.gate.send(!d.call.route.idempotent)
+}
+
+// past reports whether t is over by the monotonic clock, which may stand still
+// while a VM is suspended, or by the wall clock.
+func past(t time.Time) bool {
+	now := time.Now()
+	return !now.Before(t) || !now.Round(0).Before(t.Round(0))
+}
+
+// settle returns the error for the caller: "not run" only once the gate is
+// closed to all attempts.
+func (d *dispatch) settle(err error) error {
+	if fault.Of(err).Answer().Ran() != fault.No || d.gate.refuse() {
+		return err
+	}
+	switch ended := d.ctx.Err(); {
+	case errors.Is(ended, context.DeadlineExceeded):
+		return fault.Wrap(fault.Timeout, ended, "after bytes were sent")
+	case ended != nil:
+		return fault.Wrap(fault.Canceled, ended, "after bytes were sent")
+	case d.doubt != nil:
+		return d.doubt
+	}
+	return fault.Wrap(fault.Interrupted, err, "an earlier attempt may have run")
+}
+
+// abandon cancels all attempts but the winner and closes what they return; it
+// is for hedges that lost and for a context that ended.
+func (d *dispatch) abandon(winner int) {
+	for i, cancel := range d.cancels {
+		if i != winner {
+			cancel()
+		}
+	}
+	if d.spare != nil {
+		d.spare.close()
+	}
+	if d.pending == 0 {
+		return
+	}
+	go func(n int) {
+		for range n {
+			if r := <-d.results; r.reply != nil {
+				r.reply.close()
+			}
+		}
+	}(d.pending)
+}
+
+// hedgeTimer returns the channel that says when to send a hedge.
+func (d *dispatch) hedgeTimer() (<-chan time.Time, func()) {
+	return nil, func() {}
+}
--- /dev/null
+++ b/proxy/handler.go
@@ -0,0 +1,300 @@
+// Package proxy is the request path of an entry VM: it finds the route, admits
+// the request, sends attempts to backend servers and gives the caller a whole
+// response or an accurate refusal.
+package proxy
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/pick"
+)
+
+// Header names of requests.
+const (
+	HeaderAccount  = "Azuredeal-Account"  // Token of the caller's account.
+	HeaderDeadline = "Azuredeal-Deadline" // Milliseconds left.
+	HeaderKey      = "Idempotency-Key"
+)
+
+// Defaults of Options.
+const (
+	defaultAnonymousRate  = 50 // Requests a second on one VM.
+	defaultAnonymousBurst = 100
+	defaultBodyTime       = 10 * time.Second
+)
+
+// Options configures a Handler. Zero values take defaults.
+type Options struct {
+	Zone string // Availability zone of this VM.
+	Seed uint64 // Fixes the choice of backend servers.
+	// AnonymousRate, in requests a second, and AnonymousBurst bound the requests
+	// without an account, taken together. 0 takes the defaults, 50 and 100.
+	AnonymousRate  float64
+	AnonymousBurst int
+	BodyTime       time.Duration // Time limit to read a request body, 10 s by default.
+	Idle           time.Duration // See pool.Options.
+	Connect        time.Duration // See pool.Options.
+	Dial           func(ctx context.Context, network, address string) (net.Conn, error)
+	// Conns returns how many of a backend server's connections this VM may use;
+	// by default a sixteenth, as there are about that many entry VMs.
+	Conns func(all int) int
+	// Subset returns the backend servers of a service that this VM uses; all by
+	// default.
+	Subset func(s note.Service) []note.Server
+	// Sample takes the outcome of each attempt; it must not block.
+	Sample func(board.Sample)
+	// Once runs a keyed request at most once. By default it runs each request.
+	Once    func(ctx context.Context, c idem.Call, run idem.Run) (*idem.Answer, error)
+	Metrics *metrics.Set // By default a set of its own.
+}
+
+// Handler serves callers.
+type Handler struct {
+	opts  Options
+	mu    sync.Mutex // Held by SetRelease and SetWeights.
+	state atomic.Pointer[state]
+	rates *limit.Rates
+	count *counters // Of requests that have no service.
+	stem  string    // Begins each request id of this process.
+	seq   atomic.Uint64
+
+	choose func(p *pick.Picker, tried []*pick.Target) *pick.Target
+	spend  func(b *limit.Budget) bool
+}
+
+// state is what one release needs. It is immutable.
+type state struct {
+	generation uint64
+	table      *Table
+	services   map[string]*service
+	accounts   *accounts
+}
+
+// New returns a handler without a release; it refuses with NotReady until
+// SetRelease.
+func New(opts Options) *Handler {
+	if opts.AnonymousRate == 0 {
+		opts.AnonymousRate, opts.AnonymousBurst = defaultAnonymousRate, defaultAnonymousBurst
+	}
+	if opts.BodyTime <= 0 {
+		opts.BodyTime = defaultBodyTime
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewSet()
+	}
+	if opts.Once == nil {
+		opts.Once = func(ctx context.Context, _ idem.Call, run idem.Run) (*idem.Answer, error) { return run(ctx) }
+	}
+	h := &Handler{
+		opts:   opts,
+		rates:  limit.NewRates(),
+		count:  newCounters(opts.Metrics, ""),
+		stem:   newStem(),
+		choose: (*pick.Picker).Pick,
+		spend:  (*limit.Budget).Spend,
+	}
+	return h
+}
+
+const stemBytes = 6
+
+// newStem returns a random start for request ids: an id must not occur twice
+// among all processes, or a crossed response could pass for the right one.
+func newStem() string {
+	var b [stemBytes]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:]) + "-"
+}
+
+func (h *Handler) newID() string {
+	return h.stem + strconv.FormatUint(h.seq.Add(1), 36)
+}
+
+// SetRelease puts a release into effect. Connections, queues and budgets of
+// what did not change are kept; requests in flight end as they began, but their
+// further attempts avoid backend servers that are leaving.
+func (h *Handler) SetRelease(rel *note.Release) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.state.Load()
+	next := &state{
+		generation: rel.Generation(),
+		table:      NewTable(rel),
+		services:   map[string]*service{},
+		accounts:   newAccounts(rel.Accounts()),
+	}
+	for _, n := range rel.Services() {
+		var before *service
+		if old != nil {
+			before = old.services[n.Name]
+		}
+		next.services[n.Name] = h.newService(n, before)
+	}
+	h.state.Store(next)
+	if old == nil {
+		return
+	}
+	for name, s := range old.services {
+		if next.services[name] == nil {
+			s.picker.Set(nil)
+		}
+		s.retire(next.services[name])
+	}
+}
+
+// SetWeights sets the shares, 0 to 1, of backend servers of a service, by
+// address. Servers that are not named keep theirs.
+func (h *Handler) SetWeights(name string, weights map[string]float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	st := h.state.Load()
+	if st == nil || st.services[name] == nil {
+		return
+	}
+	s := st.services[name]
+	for addr, w := range weights {
+		if v := s.servers[addr]; v != nil {
+			v.target.SetWeight(w)
+		}
+	}
+	s.aim()
+}
+
+// Flights returns what is in flight at each backend server.
+func (h *Handler) Flights() []board.Flight {
+	st := h.state.Load()
+	if st == nil {
+		return nil
+	}
+	var out []board.Flight
+	for _, s := range st.services {
+		out = s.flights(out)
+	}
+	return out
+}
+
+// Generation returns the generation in effect, 0 before the first.
+func (h *Handler) Generation() uint64 {
+	if st := h.state.Load(); st != nil {
+		return st.generation
+	}
+	return 0
+}
+
+// Close closes idle connections to backend servers. Requests in flight are not
+// interrupted.
+func (h *Handler) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if st := h.state.Load(); st != nil {
+		for _, s := range st.services {
+			s.retire(nil)
+		}
+	}
+}
+
+// current returns the server that a target of s stands for. The picker may be
+// ahead of s, when a release has changed the service since the request began.
+func (h *Handler) current(s *service, t *pick.Target) *server {
+	if v := s.servers[t.Addr()]; v != nil && v.target == t {
+		return v
+	}
+	if now := h.state.Load().services[s.note.Name]; now != nil {
+		return now.servers[t.Addr()]
+	}
+	return nil
+}
+
+const fleetShare = 16
+
+func (h *Handler) conns(all int) int {
+	if h.opts.Conns != nil {
+		return h.opts.Conns(all)
+	}
+	return max(1, all/fleetShare)
+}
+
+func (h *Handler) subset(n note.Service) []note.Server {
+	if h.opts.Subset != nil {
+		return h.opts.Subset(n)
+	}
+	return n.Servers
+}
+
+func (h *Handler) sample(s board.Sample) {
+	if st := h.state.Load(); st != nil {
+		if v := st.services[s.Service]; v != nil {
+			v.count.outcome(s.Outcome)
+		}
+	}
+	if h.opts.Sample != nil {
+		h.opts.Sample(s)
+	}
+}
+
+// ServeHTTP serves one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := h.callerID(r)
+	count := h.count
+	c, err := h.accept(w, r, id)
+	if c != nil {
+		count = c.service.count
+	}
+	if err == nil {
+		err = h.answer(w, r, c)
+	}
+	if err == nil {
+		count.done()
+		return
+	}
+	count.fault(fault.Of(err))
+	fault.Write(w, err, id)
+}
+
+// answer runs an accepted call and writes its response. An error means that
+// nothing has been written yet.
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request, c *call) error {
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if c.key != "" {
+		a, err := h.opts.Once(ctx, c.idem(), c.run)
+		if err != nil {
+			return err
+		}
+		writeAnswer(w, c, a)
+		return nil
+	}
+	p, err := c.execute(ctx, false)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	return p.write(w, c)
+}
+
+// Dispatch runs a request that a peer forwarded to this VM as the owner of its
+// key: the same admission and attempts as for a caller's own connection, without
+// the rate of the account, which the peer has charged. It does not consult the
+// ledger; the caller of Dispatch must hold the key.
+func (h *Handler) Dispatch(ctx context.Context, in idem.Call) (*idem.Answer, error) {
+	c, err := h.forwarded(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	return c.run(ctx)
+}
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,223 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/pick"
+)
+
+// backend is a backend server that speaks raw TCP, so that a test decides each
+// byte and each close.
+type backend struct {
+	net.Listener
+	requests atomic.Int64 // Requests read to their end.
+	conns    atomic.Int64
+}
+
+// serveRaw starts a backend server; handle gets each request and returns
+// whether the connection stays open.
+func serveRaw(t testing.TB, handle func(c net.Conn, r *http.Request, body []byte) bool) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{Listener: l}
+	var group sync.WaitGroup
+	t.Cleanup(func() {
+		_ = l.Close()
+		group.Wait()
+	})
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.conns.Add(1)
+			stop := closeAfter(t, c)
+			group.Go(func() {
+				defer stop()
+				b.converse(c, handle)
+			})
+		}
+	})
+	return b
+}
+
+func (b *backend) converse(c net.Conn, handle func(net.Conn, *http.Request, []byte) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.requests.Add(1)
+		if !handle(c, r, body) {
+			return
+		}
+	}
+}
+
+func closeAfter(t testing.TB, c net.Conn) func() {
+	done := make(chan struct{})
+	ctx := t.Context()
+	go func() {
+		select {
+		case <-ctx.Done():
+			c.Close()
+		case <-done:
+		}
+	}()
+	return func() { close(done) }
+}
+
+// reset closes a connection with RST instead of FIN.
+func reset(c net.Conn) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+	return false
+}
+
+// respond writes a whole response with the id of the request.
+func respond(c net.Conn, r *http.Request, status int, extra, body string) bool {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, r.Header.Get("X-Request-Id"), len(body), extra, body)
+	return true
+}
+
+// fixture is a handler with one service "s" and its samples.
+type fixture struct {
+	*Handler
+	mu      sync.Mutex
+	samples []board.Sample
+}
+
+func newFixture(t testing.TB, edit func(*note.Service), backends ...*backend) *fixture {
+	t.Helper()
+	f := &fixture{}
+	f.Handler = New(Options{
+		AnonymousRate: 1e6, AnonymousBurst: 1e6,
+		Sample: func(s board.Sample) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.samples = append(f.samples, s)
+		},
+	})
+	f.choose = inOrder
+	f.spend = func(*limit.Budget) bool { return true }
+	f.SetRelease(release(edit, backends...))
+	t.Cleanup(f.Close)
+	return f
+}
+
+// inOrder picks servers in the order of the release, so that a test knows which
+// one gets the first attempt.
+func inOrder(p *pick.Picker, tried []*pick.Target) *pick.Target {
+	for _, target := range p.Targets() {
+		if !slices.Contains(tried, target) {
+			return target
+		}
+	}
+	return nil
+}
+
+func release(edit func(*note.Service), backends ...*backend) *note.Release {
+	s := note.Service{
+		Name: "s", Floor: 1, Deadline: note.Duration(5 * time.Second), Echo: note.EchoRequired,
+		Limits: note.Limits{Queue: 100, Body: 1 << 20, Answer: 1 << 24, Retry: 0.1},
+	}
+	for _, b := range backends {
+		s.Servers = append(s.Servers, note.Server{Addr: b.Addr().String(), Zone: "a", Slots: 3, Conns: 400})
+	}
+	if edit != nil {
+		edit(&s)
+	}
+	routes := []note.Route{
+		{Name: "look", Service: "s", Path: "/look/*", Methods: []string{"GET", "HEAD", "POST"}, Idempotent: true},
+		{Name: "act", Service: "s", Path: "/act", Methods: []string{"POST"}, Key: note.KeyOptional},
+		{Name: "pay", Service: "s", Path: "/pay", Methods: []string{"POST"}, Key: note.KeyRequired},
+	}
+	return note.NewRelease(1, []note.Service{s}, routes, nil)
+}
+
+func (f *fixture) outcomes() []board.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []board.Outcome
+	for _, s := range f.samples {
+		out = append(out, s.Outcome)
+	}
+	return out
+}
+
+func (f *fixture) do(method, path, body string, header ...string) *http.Response {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, r)
+	return w.Result()
+}
+
+func ok(c net.Conn, r *http.Request, body []byte) bool {
+	return respond(c, r, 200, "", "got "+string(body))
+}
+
+func expect(t testing.TB, r *http.Response, status int, kind, ran string) {
+	t.Helper()
+	if r.StatusCode != status || r.Header.Get("Azuredeal-Error") != kind || r.Header.Get("Azuredeal-Ran") != ran {
+		t.Fatalf("response %d %q ran %q, want %d %q ran %q", r.StatusCode,
+			r.Header.Get("Azuredeal-Error"), r.Header.Get("Azuredeal-Ran"), status, kind, ran)
+	}
+}
+
+// Guards against a response whose body, status or caller id gets lost on the way.
+func TestWholeResponse(t *testing.T) {
+	b := serveRaw(t, ok)
+	f := newFixture(t, nil, b)
+	for _, path := range []string{"/look/x", "/act"} {
+		r := f.do("POST", path, "hello", "X-Request-Id", "mine")
+		expect(t, r, 200, "", "")
+		body, _ := io.ReadAll(r.Body)
+		if !bytes.Equal(body, []byte("got hello")) || r.Header.Get("X-Request-Id") != "mine" {
+			t.Fatalf("body %q, header %v", body, r.Header)
+		}
+	}
+	if got := f.outcomes(); !slices.Equal(got, []board.Outcome{board.Success, board.Success}) {
+		t.Fatalf("outcomes %v", got)
+	}
+}
+
+// Guards against a second run of an action whose connection was reset after it
+// ran, and against the answer "not run" for it.
+func TestResetAfterActionIsUnknown(t *testing.T) {
+	b := serveRaw(t, func(c net.Conn, _ *http.Request, _ []byte) bool { return reset(c) })
+	spare := serveRaw(t, ok)
+	f := newFixture(t, nil, b, spare)
+	expect(t, f.do("POST", "/act", "order"), 502, "Interrupted", "unknown")
+	if b.requests.Load() != 1 || spare.requests.Load() != 0 {
+		t.Fatalf("ran %d and %d times", b.requests.Load(), spare.requests.Load())
+	}
+}
--- /dev/null
+++ b/proxy/service.go
@@ -0,0 +1,171 @@
+package proxy
+
+import (
+	"hash/fnv"
+	"reflect"
+	"time"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/pick"
+	"github.com/azuredeal/azuredeal/pool"
+)
+
+const (
+	budgetBurst    = 10
+	defaultQueue   = 64 // Requests that wait.
+	defaultBody    = 1 << 20
+	defaultAnswer  = 64 << 20
+	defaultTimeout = 10 * time.Second
+)
+
+// server is one backend server with the state that outlives a release.
+type server struct {
+	note   note.Server
+	target *pick.Target
+	pool   *pool.Pool
+}
+
+// service is the state of one service. It is replaced as a whole when a release
+// changes the service; the parts that did not change move along.
+type service struct {
+	note    note.Service
+	queue   *limit.Queue
+	budget  *limit.Budget
+	picker  *pick.Picker
+	servers map[string]*server
+	recent  *window
+	count   *counters
+}
+
+func (h *Handler) newService(n note.Service, old *service) *service {
+	if old != nil && reflect.DeepEqual(old.note, n) {
+		return old
+	}
+	s := &service{note: n, servers: map[string]*server{}}
+	h.share(s, old)
+	for _, m := range h.subset(n) {
+		var before *server
+		if old != nil {
+			before = old.servers[m.Addr]
+		}
+		s.servers[m.Addr] = h.newServer(n.Name, m, before)
+	}
+	s.aim()
+	return s
+}
+
+// share takes over from old what its rules still allow.
+func (h *Handler) share(s, old *service) {
+	n := s.note
+	if old == nil {
+		s.picker = pick.New(h.opts.Zone, h.opts.Seed^hash(n.Name))
+		s.recent = new(window)
+		s.count = newCounters(h.opts.Metrics, n.Name)
+	} else {
+		s.picker, s.recent, s.count = old.picker, old.recent, old.count
+		s.queue, s.budget = old.queue, old.budget
+	}
+	if old == nil || old.note.Limits.Queue != n.Limits.Queue {
+		s.queue = limit.NewQueue(1, orInt(n.Limits.Queue, defaultQueue))
+	}
+	if old == nil || old.note.Limits.Retry != n.Limits.Retry {
+		s.budget = limit.NewBudget(n.Limits.Retry, budgetBurst)
+	}
+}
+
+func (h *Handler) newServer(name string, n note.Server, old *server) *server {
+	if old != nil && old.note == n {
+		return old
+	}
+	v := &server{note: n, target: pick.NewTarget(n.Addr, n.Zone, n.Slots)}
+	if old != nil {
+		v.target.SetWeight(old.target.Weight())
+	}
+	if old != nil && old.note.Conns == n.Conns {
+		v.pool = old.pool
+		if old.note.Zone == n.Zone && old.note.Slots == n.Slots {
+			v.target = old.target
+		}
+		return v
+	}
+	v.pool = pool.New(n.Addr, pool.Options{
+		Service: name,
+		Conns:   h.conns(n.Conns),
+		Idle:    h.opts.Idle,
+		Connect: h.opts.Connect,
+		Dial:    h.opts.Dial,
+		Sample:  h.sample,
+	})
+	return v
+}
+
+// aim tells picker and queue which servers are usable. A leaving server gets no
+// new attempts from here on.
+func (s *service) aim() {
+	targets := make([]*pick.Target, 0, len(s.servers))
+	room := 0
+	for _, n := range s.note.Servers {
+		v := s.servers[n.Addr]
+		if v == nil || n.Leaving {
+			continue
+		}
+		targets = append(targets, v.target)
+		if v.target.Weight() > 0 {
+			room += max(1, n.Slots)
+		}
+	}
+	s.picker.Set(targets)
+	s.queue.SetRoom(max(1, room))
+}
+
+// retire closes the connections of servers that next no longer uses.
+func (s *service) retire(next *service) {
+	for addr, v := range s.servers {
+		if next == nil || next.servers[addr] == nil || next.servers[addr].pool != v.pool {
+			v.pool.Close()
+		}
+	}
+}
+
+func (s *service) flights(out []board.Flight) []board.Flight {
+	for _, v := range s.servers {
+		out = append(out, v.pool.Flight())
+	}
+	return out
+}
+
+func (s *service) deadline(r *Route) time.Duration {
+	switch {
+	case r.deadline > 0:
+		return r.deadline
+	case s.note.Deadline > 0:
+		return s.note.Deadline.Std()
+	}
+	return defaultTimeout
+}
+
+func (s *service) bodyLimit() int64 { return orInt64(s.note.Limits.Body, defaultBody) }
+
+func (s *service) answerLimit() int64 { return orInt64(s.note.Limits.Answer, defaultAnswer) }
+
+func orInt(n, fallback int) int {
+	if n > 0 {
+		return n
+	}
+	return fallback
+}
+
+func orInt64(n, fallback int64) int64 {
+	if n > 0 {
+		return n
+	}
+	return fallback
+}
+
+func hash(text string) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(text))
+	return f.Sum64()
+}
