--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -33,7 +33,7 @@
 	// server at the same moment, which leaves unknown whether the request ran.
 	Fresh bool
 	// Send is asked immediately before the first byte is written; no byte is
-	// written when it returns false.
+	// written when it returns false. Nil means yes.
 	Send func() bool
 }
 
@@ -95,7 +95,7 @@
 		return err
 	}
 	x.link.sent.Store(0)
-	if !x.req.Send() {
+	if x.req.Send != nil && !x.req.Send() {
 		x.reuse = true
 		x.quit()
 		return fault.New(fault.DeadlineShort, "the request was withdrawn before it was sent")
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -29,6 +29,9 @@
 		call: c, ctx: ctx, whole: whole, stem: c.handler.newID(),
 		results: make(chan result, attemptsMost),
 	}
+	if c.route.idempotent && c.service.note.Limits.Hedge {
+		d.recent = c.service.recent.of(c.route.name)
+	}
 	p, err := d.run()
 	if err != nil {
 		leave()
@@ -75,8 +78,9 @@
 	cancels []context.CancelFunc // One for each attempt.
 	results chan result
 	pending int
-	spare   *reply // A whole response that reports a failure of the server.
-	doubt   error  // Of an attempt that may have run.
+	recent  *window // Nil when the call is not hedged.
+	spare   *reply  // A whole response that reports a failure of the server.
+	doubt   error   // Of an attempt that may have run.
 }
 
 // run returns the first good reply, or an error that is accurate about whether
@@ -84,7 +88,7 @@
 func (d *dispatch) run() (*reply, error) {
 	winner := -1
 	defer func() { d.abandon(winner) }()
-	if !d.launch() {
+	if !d.launch(false) {
 		return nil, d.settle(fault.New(fault.NoServer, "service %s", d.call.service.note.Name))
 	}
 	hedge, stop := d.hedgeTimer()
@@ -101,10 +105,14 @@
 			}
 		case <-hedge:
 			hedge = nil
-			if d.pending == 1 && d.another() {
+			if d.pending == 1 && d.spend() && d.launch(false) {
 				d.call.service.count.hedges.Inc()
 			}
 		case <-d.ctx.Done():
+			if p := d.takeSpare(); p != nil {
+				winner = p.index
+				return p, nil
+			}
 			return nil, d.settle(fault.Wrap(fault.DeadlineShort, d.ctx.Err(), "no byte was sent"))
 		}
 	}
@@ -123,18 +131,22 @@
 	if d.pending > 0 {
 		return nil, nil, false
 	}
-	if d.retriable(r.err) && d.another() {
+	if d.retriable(r.err) && d.again(r.err) {
 		d.call.service.count.retries.Inc()
 		return nil, nil, false
 	}
-	if d.spare != nil {
-		p := d.spare
-		d.spare = nil
+	if p := d.takeSpare(); p != nil {
 		return p, nil, true
 	}
 	return nil, d.settle(r.err), true
 }
 
+func (d *dispatch) takeSpare() *reply {
+	p := d.spare
+	d.spare = nil
+	return p
+}
+
 // failed reports whether a reply is worth another attempt.
 func (d *dispatch) failed(p *reply) bool {
 	if !d.call.route.idempotent || p.rest != nil {
@@ -174,18 +186,30 @@
 	}
 }
 
-// another launches a further attempt when the budget and the servers allow it.
-func (d *dispatch) another() bool {
-	if len(d.tried) >= attemptsMost || !d.call.handler.spend(d.call.service.budget) {
+// again launches a retry when budget and servers allow it. An attempt that
+// found no free connection cost its server nothing, so it costs no budget. After
+// a broken connection the same server may serve when there is no other.
+func (d *dispatch) again(err error) bool {
+	kind := fault.Of(err)
+	if kind != fault.NoServer && !d.spend() {
 		return false
 	}
-	return d.launch()
+	return d.launch(err != nil && kind == fault.Interrupted)
 }
 
-// launch starts an attempt at a server that was not tried.
-func (d *dispatch) launch() bool {
+func (d *dispatch) spend() bool { return d.call.handler.spend(d.call.service.budget) }
+
+// launch starts an attempt at a server that was not tried, or with same set at
+// any server when all were tried.
+func (d *dispatch) launch(same bool) bool {
+	if len(d.tried) >= attemptsMost {
+		return false
+	}
 	c := d.call
 	t := c.handler.choose(c.service.picker, d.tried)
+	if t == nil && same {
+		t = c.handler.choose(c.service.picker, nil)
+	}
 	if t == nil {
 		return false
 	}
@@ -213,7 +237,8 @@
 	req := &pool.Request{
 		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
 		Header: c.header.Clone(), ID: id, Echo: c.service.note.Echo,
-		Fresh: !c.route.idempotent,
+		// A retry must not meet another connection that the same event has closed.
+		Fresh: !c.route.idempotent || index > 0,
 		Send: func() bool {
 			sent = d.pass(ctx)
 			return sent
@@ -221,12 +246,18 @@
 	}
 	left := max(0, time.Until(c.deadline))
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	start := time.Now()
 	v.target.Begin()
 	p := &reply{index: index, cancel: cancel, target: v.target}
 	resp, err := v.pool.Do(ctx, req)
 	if err == nil {
 		err = p.read(resp, d.whole, c.service.answerLimit())
 	}
+	if err == nil || ctx.Err() != nil && d.ctx.Err() == nil {
+		// A hedge that lost counts with the time it took so far; without it, the
+		// recent times would shrink with each hedge.
+		d.recent.add(time.Since(start))
+	}
 	if err == nil {
 		return p, nil
 	}
@@ -293,7 +324,11 @@
 	}(d.pending)
 }
 
-// hedgeTimer returns the channel that says when to send a hedge.
-func (d *dispatch) hedgeTimer() (<-chan time.Time, func()) {
-	return nil, func() {}
+// hedgeTimer returns a channel that says when to send a hedge, nil for never.
+func (d *dispatch) hedgeTimer() (<-chan time.Time, func() bool) {
+	if d.recent == nil {
+		return nil, func() bool { return false }
+	}
+	timer := time.NewTimer(d.recent.delay(time.Until(d.call.deadline)))
+	return timer.C, timer.Stop
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -26,12 +26,14 @@
 	class    limit.Class
 	deadline time.Time
 	id       string // What the caller sees.
+	proto    int    // Major version of HTTP that the caller speaks.
 	key      string // Only on a non-idempotent route.
 	method   string
 	host     string
 	target   string // Path and query.
 	header   http.Header
 	body     []byte
+	held     int64 // Bytes counted for body.
 }
 
 // accept checks a request and reads its body. The call is returned together
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.id = id
+	c.id, c.proto = id, r.ProtoMajor
 	c.header = r.Header
 	if err := c.identify(st, start); err != nil {
 		return c, err
@@ -95,6 +97,7 @@
 
 func dotSegment(path string) bool {
 	for part := range strings.SplitSeq(path, "/") {
+		part, _, _ = strings.Cut(part, ";") // Some servers drop path parameters first.
 		if part == "." || part == ".." {
 			return true
 		}
@@ -138,9 +141,12 @@
 		return fault.New(fault.KeyInvalid, "%d keys", len(keys))
 	}
 	if len(keys) == 1 {
+		if keys[0] == "" {
+			return fault.New(fault.KeyInvalid, "empty key")
+		}
 		c.key = keys[0]
 	}
-	if c.key == "" && (c.route.keyed || len(keys) == 1) {
+	if c.key == "" && c.route.keyed {
 		return fault.New(fault.KeyMissing, "route %s", c.route.name)
 	}
 	return nil
@@ -174,6 +180,15 @@
 	return out
 }
 
+// limitBody sets the time limit to read the body. It holds before the request
+// is accepted, because the server reads some of the body before it writes a
+// refusal.
+func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.opts.BodyTime))
+	}
+}
+
 // readBody reads the whole request body within the limits of size and time.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
@@ -183,18 +198,18 @@
 	if r.ContentLength > most {
 		return nil, fault.New(fault.BodyTooLarge, "%d bytes", r.ContentLength)
 	}
-	until := time.Now().Add(c.handler.opts.BodyTime)
-	if c.deadline.Before(until) {
-		until = c.deadline
-	}
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(until)
-	body, err := readAll(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
+	if time.Until(c.deadline) < c.handler.opts.BodyTime {
+		_ = rc.SetReadDeadline(c.deadline)
+	}
+	body, err := c.readAll(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
 		_ = rc.SetReadDeadline(time.Time{})
 		return body, nil
+	case fault.Of(err) == fault.QueueFull:
+		return nil, err
 	case errors.As(err, &large):
 		return nil, fault.Wrap(fault.BodyTooLarge, err, "request body")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -208,11 +223,14 @@
 
 // readAll reads to the end. It does not trust the announced length beyond a
 // small buffer, which a caller that sends nothing could use to hold memory.
-func readAll(r io.Reader, length int64) ([]byte, error) {
+func (c *call) readAll(r io.Reader, length int64) ([]byte, error) {
 	size := int64(bodyStart)
 	if length >= 0 {
 		size = min(size, length+1)
 	}
+	if !c.hold(size) {
+		return nil, errBodyRoom
+	}
 	body := make([]byte, 0, size)
 	for {
 		n, err := r.Read(body[len(body):cap(body)])
@@ -224,11 +242,25 @@
 			return nil, err
 		}
 		if len(body) == cap(body) {
+			if !c.hold(int64(cap(body))) {
+				return nil, errBodyRoom
+			}
 			body = slices.Grow(body, len(body))
 		}
 	}
 }
 
+var errBodyRoom = fault.New(fault.QueueFull, "no room for request bodies")
+
+// hold counts n bytes of body against the room of all callers.
+func (c *call) hold(n int64) bool {
+	c.held += n
+	return c.handler.held.Add(n) <= c.handler.opts.BodyRoom
+}
+
+// drop gives back what the body held.
+func (c *call) drop() { c.handler.held.Add(-c.held) }
+
 const idLength = 128 // Longest request id of a caller that is repeated to it.
 
 // callerID returns the caller's own request id when it has a sound one, so that
--- a/proxy/count.go
+++ b/proxy/count.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -9,34 +10,46 @@
 	"github.com/azuredeal/azuredeal/fault"
 )
 
-// counters are the counters of one service, or of requests without one.
+// counters are the counters of one service, or of requests without one. Those
+// by kind and outcome are made at first use: most stay at zero, and a fleet has
+// hundreds of services.
 type counters struct {
+	set      *metrics.Set
+	service  string
 	whole    *metrics.Counter
 	aborted  *metrics.Counter
 	retries  *metrics.Counter
 	hedges   *metrics.Counter
-	faults   []*metrics.Counter // By fault.Kind.
-	outcomes []*metrics.Counter // By board.Outcome.
+	faults   []atomic.Pointer[metrics.Counter] // By fault.Kind.
+	outcomes []atomic.Pointer[metrics.Counter] // By board.Outcome.
 }
 
 func newCounters(set *metrics.Set, service string) *counters {
 	c := &counters{
-		whole:   set.GetOrCreateCounter(fmt.Sprintf("azuredeal_responses_total{service=%q}", service)),
-		aborted: set.GetOrCreateCounter(fmt.Sprintf("azuredeal_aborted_total{service=%q}", service)),
-		retries: set.GetOrCreateCounter(fmt.Sprintf("azuredeal_retries_total{service=%q}", service)),
-		hedges:  set.GetOrCreateCounter(fmt.Sprintf("azuredeal_hedges_total{service=%q}", service)),
-	}
-	for _, kind := range fault.Kinds() {
-		name := fmt.Sprintf("azuredeal_refusals_total{service=%q,kind=%q}", service, kind)
-		c.faults = append(c.faults, set.GetOrCreateCounter(name))
-	}
-	for o := board.Success; o <= board.Canceled; o++ {
-		name := fmt.Sprintf("azuredeal_attempts_total{service=%q,outcome=%q}", service, o)
-		c.outcomes = append(c.outcomes, set.GetOrCreateCounter(name))
+		set: set, service: service,
+		faults:   make([]atomic.Pointer[metrics.Counter], len(fault.Kinds())),
+		outcomes: make([]atomic.Pointer[metrics.Counter], board.Canceled+1),
 	}
+	c.whole = c.named("responses", "")
+	c.aborted = c.named("aborted", "")
+	c.retries = c.named("retries", "")
+	c.hedges = c.named("hedges", "")
 	return c
 }
 
-func (c *counters) done()                   { c.whole.Inc() }
-func (c *counters) fault(k fault.Kind)      { c.faults[k].Inc() }
-func (c *counters) outcome(o board.Outcome) { c.outcomes[o].Inc() }
+func (c *counters) named(name, label string) *metrics.Counter {
+	return c.set.GetOrCreateCounter(fmt.Sprintf("azuredeal_%s_total{service=%q%s}", name, c.service, label))
+}
+
+func (c *counters) fault(k fault.Kind) { c.inc(&c.faults[k], "refusals", "kind", k) }
+
+func (c *counters) outcome(o board.Outcome) { c.inc(&c.outcomes[o], "attempts", "outcome", o) }
+
+func (c *counters) inc(p *atomic.Pointer[metrics.Counter], name, label string, value fmt.Stringer) {
+	counter := p.Load()
+	if counter == nil {
+		counter = c.named(name, fmt.Sprintf(",%s=%q", label, value))
+		p.Store(counter)
+	}
+	counter.Inc()
+}
--- /dev/null
+++ b/proxy/dump.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ServiceDump is the traffic state of one service, for the dump of a process.
+type ServiceDump struct {
+	Name    string       `json:"name"`
+	Servers []ServerDump `json:"servers"`
+}
+
+// ServerDump is the traffic state of one backend server.
+type ServerDump struct {
+	Addr     string  `json:"addr"`
+	Zone     string  `json:"zone"`
+	Weight   float64 `json:"weight"`
+	Used     bool    `json:"used"` // In this VM's subset and not leaving.
+	Leaving  bool    `json:"leaving"`
+	Inflight int     `json:"inflight"` // Exchanges.
+	Waiting  int64   `json:"waiting"`  // Age of the oldest wait, in milliseconds.
+	Open     int     `json:"open"`     // Connections.
+	Idle     int     `json:"idle"`     // Connections.
+}
+
+// Dump returns the traffic state of all services, sorted by name.
+func (h *Handler) Dump() []ServiceDump {
+	st := h.state.Load()
+	if st == nil {
+		return nil
+	}
+	now := time.Now()
+	out := make([]ServiceDump, 0, len(st.services))
+	for _, name := range slices.Sorted(maps.Keys(st.services)) {
+		out = append(out, st.services[name].dump(now))
+	}
+	return out
+}
+
+func (s *service) dump(now time.Time) ServiceDump {
+	out := ServiceDump{Name: s.note.Name, Servers: make([]ServerDump, 0, len(s.servers))}
+	used := s.picker.Targets()
+	for _, n := range s.note.Servers {
+		v := s.servers[n.Addr]
+		flight := v.pool.Flight()
+		d := ServerDump{
+			Addr: n.Addr, Zone: n.Zone, Leaving: n.Leaving, Weight: v.target.Weight(),
+			Used: slices.Contains(used, v.target), Inflight: flight.Count,
+		}
+		if !flight.Oldest.IsZero() {
+			d.Waiting = now.Sub(flight.Oldest).Milliseconds()
+		}
+		d.Open, d.Idle = v.pool.Conns()
+		out.Servers = append(out.Servers, d)
+	}
+	return out
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -36,6 +36,7 @@
 	defaultAnonymousRate  = 50 // Requests a second on one VM.
 	defaultAnonymousBurst = 100
 	defaultBodyTime       = 10 * time.Second
+	defaultBodyRoom       = 256 << 20 // Bytes.
 )
 
 // Options configures a Handler. Zero values take defaults.
@@ -47,15 +48,16 @@
 	AnonymousRate  float64
 	AnonymousBurst int
 	BodyTime       time.Duration // Time limit to read a request body, 10 s by default.
+	BodyRoom       int64         // Bytes of all request bodies together, 256 MiB by default.
 	Idle           time.Duration // See pool.Options.
 	Connect        time.Duration // See pool.Options.
 	Dial           func(ctx context.Context, network, address string) (net.Conn, error)
 	// Conns returns how many of a backend server's connections this VM may use;
 	// by default a sixteenth, as there are about that many entry VMs.
 	Conns func(all int) int
-	// Subset returns the backend servers of a service that this VM uses; all by
-	// default.
-	Subset func(s note.Service) []note.Server
+	// Subset returns those of the backend servers of a service that this VM
+	// uses; all by default. It may be called on any goroutine that sets releases.
+	Subset func(s note.Service, all []*pick.Target) []*pick.Target
 	// Sample takes the outcome of each attempt; it must not block.
 	Sample func(board.Sample)
 	// Once runs a keyed request at most once. By default it runs each request.
@@ -72,6 +74,7 @@
 	count *counters // Of requests that have no service.
 	stem  string    // Begins each request id of this process.
 	seq   atomic.Uint64
+	held  atomic.Int64 // Bytes of request bodies.
 
 	choose func(p *pick.Picker, tried []*pick.Target) *pick.Target
 	spend  func(b *limit.Budget) bool
@@ -94,6 +97,7 @@
 	if opts.BodyTime <= 0 {
 		opts.BodyTime = defaultBodyTime
 	}
+	opts.BodyRoom = orDefault(opts.BodyRoom, defaultBodyRoom)
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
@@ -172,7 +176,7 @@
 			v.target.SetWeight(w)
 		}
 	}
-	s.aim()
+	s.makeRoom()
 }
 
 // Flights returns what is in flight at each backend server.
@@ -229,13 +233,6 @@
 	return max(1, all/fleetShare)
 }
 
-func (h *Handler) subset(n note.Service) []note.Server {
-	if h.opts.Subset != nil {
-		return h.opts.Subset(n)
-	}
-	return n.Servers
-}
-
 func (h *Handler) sample(s board.Sample) {
 	if st := h.state.Load(); st != nil {
 		if v := st.services[s.Service]; v != nil {
@@ -251,18 +248,25 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := h.callerID(r)
 	count := h.count
+	h.limitBody(w, r)
 	c, err := h.accept(w, r, id)
 	if c != nil {
 		count = c.service.count
+		defer c.drop()
 	}
 	if err == nil {
 		err = h.answer(w, r, c)
 	}
 	if err == nil {
-		count.done()
+		count.whole.Inc()
 		return
 	}
-	count.fault(fault.Of(err))
+	kind := fault.Of(err)
+	count.fault(kind)
+	if kind == fault.BodyTimeout && r.ProtoMajor == 1 {
+		// The rest of the body may still arrive, and would be read as a request.
+		w.Header().Set("Connection", "close")
+	}
 	fault.Write(w, err, id)
 }
 
@@ -276,15 +280,17 @@
 		if err != nil {
 			return err
 		}
-		writeAnswer(w, c, a)
+		writeWhole(w, c, a.Status(), a.Header(), a.Body())
 		return nil
 	}
-	p, err := c.execute(ctx, false)
+	// A caller with HTTP/1.0 cannot tell an aborted stream from a complete one.
+	p, err := c.execute(ctx, !r.ProtoAtLeast(1, 1))
 	if err != nil {
 		return err
 	}
 	defer p.close()
-	return p.write(w, c)
+	p.write(w, c)
+	return nil
 }
 
 // Dispatch runs a request that a peer forwarded to this VM as the owner of its
--- a/proxy/reply.go
+++ b/proxy/reply.go
@@ -8,9 +8,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
-	"github.com/azuredeal/azuredeal/idem"
 	"github.com/azuredeal/azuredeal/pick"
 	"github.com/azuredeal/azuredeal/pool"
 )
@@ -58,13 +58,13 @@
 	if p.length > most {
 		return fault.New(fault.AnswerTooLarge, "%d bytes", p.length)
 	}
-	hold := int64(bufferMost)
+	hold := int64(bufferMost + 1) // One more byte, so that the end is seen.
 	if whole {
 		hold = most + 1
 	}
 	size := int64(bufferStart)
 	if p.length >= 0 {
-		size = min(p.length+1, bufferMost)
+		size = min(p.length+1, bufferMost+1)
 	}
 	p.body = make([]byte, 0, size)
 	for int64(len(p.body)) < hold {
@@ -101,31 +101,35 @@
 // write gives the reply to the caller. Once headers are out, a response that
 // cannot be completed ends with http.ErrAbortHandler, which resets the stream or
 // closes the connection before the proper end.
-func (p *reply) write(w http.ResponseWriter, c *call) error {
-	setHeader(w.Header(), p.header, c.id)
+func (p *reply) write(w http.ResponseWriter, c *call) {
 	if p.rest == nil {
-		setLength(w.Header(), c.method, p.status, len(p.body))
-		w.WriteHeader(p.status)
-		_, _ = w.Write(p.body)
-		return nil
+		p.close() // A caller that reads slowly holds no slot.
+		writeWhole(w, c, p.status, p.header, p.body)
+		return
 	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(c.deadline.Add(writeTime))
+	setHeader(w.Header(), p.header, c.id)
 	w.WriteHeader(p.status)
-	if err := p.stream(w); err != nil {
+	if err := p.stream(w, rc); err != nil {
 		c.service.count.aborted.Inc()
 		panic(http.ErrAbortHandler)
 	}
-	return nil
+	clearDeadline(rc, c)
 }
 
-const streamBuffer = 32 << 10 // Bytes.
+const (
+	streamBuffer = 32 << 10 // Bytes.
+	// writeTime is what a caller has to take a response that is ready.
+	writeTime = 10 * time.Second
+)
 
-func (p *reply) stream(w http.ResponseWriter) error {
+func (p *reply) stream(w http.ResponseWriter, rc *http.ResponseController) error {
 	total := int64(len(p.body))
 	if _, err := w.Write(p.body); err != nil {
 		return err
 	}
 	p.body = nil
-	rc := http.NewResponseController(w)
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := p.rest.Read(buffer)
@@ -145,11 +149,25 @@
 	}
 }
 
-func writeAnswer(w http.ResponseWriter, c *call, a *idem.Answer) {
-	setHeader(w.Header(), a.Header(), c.id)
-	setLength(w.Header(), c.method, a.Status(), len(a.Body()))
-	w.WriteHeader(a.Status())
-	_, _ = w.Write(a.Body())
+// writeWhole writes a complete response. When the caller does not take it, the
+// connection is closed by the server, so an error needs no handling here.
+func writeWhole(w http.ResponseWriter, c *call, status int, header http.Header, body []byte) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Now().Add(writeTime))
+	setHeader(w.Header(), header, c.id)
+	setLength(w.Header(), c.method, status, len(body))
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err == nil {
+		clearDeadline(rc, c)
+	}
+}
+
+// clearDeadline makes a connection of HTTP/1 usable for the next response. With
+// HTTP/2 the deadline belongs to the stream.
+func clearDeadline(rc *http.ResponseController, c *call) {
+	if c.proto == 1 && rc.Flush() == nil {
+		_ = rc.SetWriteDeadline(time.Time{})
+	}
 }
 
 func setHeader(out, in http.Header, id string) {
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -35,7 +35,7 @@
 	budget  *limit.Budget
 	picker  *pick.Picker
 	servers map[string]*server
-	recent  *window
+	recent  *windows
 	count   *counters
 }
 
@@ -45,14 +45,14 @@
 	}
 	s := &service{note: n, servers: map[string]*server{}}
 	h.share(s, old)
-	for _, m := range h.subset(n) {
+	for _, m := range n.Servers {
 		var before *server
 		if old != nil {
 			before = old.servers[m.Addr]
 		}
 		s.servers[m.Addr] = h.newServer(n.Name, m, before)
 	}
-	s.aim()
+	s.aim(h.opts.Subset)
 	return s
 }
 
@@ -61,14 +61,14 @@
 	n := s.note
 	if old == nil {
 		s.picker = pick.New(h.opts.Zone, h.opts.Seed^hash(n.Name))
-		s.recent = new(window)
+		s.recent = new(windows)
 		s.count = newCounters(h.opts.Metrics, n.Name)
 	} else {
 		s.picker, s.recent, s.count = old.picker, old.recent, old.count
 		s.queue, s.budget = old.queue, old.budget
 	}
 	if old == nil || old.note.Limits.Queue != n.Limits.Queue {
-		s.queue = limit.NewQueue(1, orInt(n.Limits.Queue, defaultQueue))
+		s.queue = limit.NewQueue(1, orDefault(n.Limits.Queue, defaultQueue))
 	}
 	if old == nil || old.note.Limits.Retry != n.Limits.Retry {
 		s.budget = limit.NewBudget(n.Limits.Retry, budgetBurst)
@@ -103,20 +103,28 @@
 
 // aim tells picker and queue which servers are usable. A leaving server gets no
 // new attempts from here on.
-func (s *service) aim() {
+func (s *service) aim(subset func(note.Service, []*pick.Target) []*pick.Target) {
 	targets := make([]*pick.Target, 0, len(s.servers))
-	room := 0
 	for _, n := range s.note.Servers {
-		v := s.servers[n.Addr]
-		if v == nil || n.Leaving {
-			continue
-		}
-		targets = append(targets, v.target)
-		if v.target.Weight() > 0 {
-			room += max(1, n.Slots)
+		if !n.Leaving {
+			targets = append(targets, s.servers[n.Addr].target)
 		}
 	}
+	if subset != nil {
+		targets = subset(s.note, targets)
+	}
 	s.picker.Set(targets)
+	s.makeRoom()
+}
+
+// makeRoom lets as many requests run as the usable servers have slots.
+func (s *service) makeRoom() {
+	room := 0
+	for _, t := range s.picker.Targets() {
+		if t.Weight() > 0 {
+			room += max(1, t.Slots())
+		}
+	}
 	s.queue.SetRoom(max(1, room))
 }
 
@@ -146,18 +154,11 @@
 	return defaultTimeout
 }
 
-func (s *service) bodyLimit() int64 { return orInt64(s.note.Limits.Body, defaultBody) }
-
-func (s *service) answerLimit() int64 { return orInt64(s.note.Limits.Answer, defaultAnswer) }
+func (s *service) bodyLimit() int64 { return orDefault(s.note.Limits.Body, defaultBody) }
 
-func orInt(n, fallback int) int {
-	if n > 0 {
-		return n
-	}
-	return fallback
-}
+func (s *service) answerLimit() int64 { return orDefault(s.note.Limits.Answer, defaultAnswer) }
 
-func orInt64(n, fallback int64) int64 {
+func orDefault[T int | int64](n, fallback T) T {
 	if n > 0 {
 		return n
 	}
