Add settings, strict JSON decoding and the stand-in backend server

strict decodes JSON and lists every problem with its path, value and what is allowed, because encoding/json stops at the first one. conf uses it for the settings of a process; a golden file holds the list for a bad file.

worker runs 3 slots, sheds, drains, starts cold, and stalls, slows, flaps, crosses, truncates or resets on demand while its probe passes. Its tests show that a refusal starts no action.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,75 @@
+// Command standin runs the stand-ins that tests and quick starts use in place of
+// the platform and of backend servers.
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
+
+	"github.com/azuredeal/azuredeal/worker"
+)
+
+type commands struct {
+	Worker workerCommand `cmd:"" help:"Run a backend server that can show gray failures."`
+}
+
+type workerCommand struct {
+	Addr   string        `help:"Address to serve on, ip:port." default:"127.0.0.1:0"`
+	Name   string        `help:"Name in answers." default:"worker"`
+	Slots  int           `help:"Requests that run at once." default:"3"`
+	Queue  int           `help:"Requests that wait for a slot." default:"6"`
+	Conns  int           `help:"Connections." default:"400"`
+	Median time.Duration `help:"Median service time." default:"20ms"`
+	Sigma  float64       `help:"Sigma of the lognormal service time." default:"0.5"`
+	Cold   time.Duration `help:"Time after the start in which requests are refused." default:"0s"`
+	Seed   uint64        `help:"Seed of the service times." default:"1"`
+}
+
+// Run serves until the process is told to stop.
+func (c *workerCommand) Run(ctx context.Context, log zerolog.Logger) error {
+	server := worker.New(worker.Options{
+		Name: c.Name, Slots: c.Slots, Queue: c.Queue,
+		Median: c.Median, Sigma: c.Sigma, Cold: c.Cold, Seed: c.Seed,
+	})
+	return serve(ctx, log, c.Addr, c.Conns, server.Handler())
+}
+
+const readTimeout = 10 * time.Second
+
+// serve answers on addr until ctx ends and logs the address, so that a caller
+// who asked for port 0 learns it.
+func serve(ctx context.Context, log zerolog.Logger, addr string, conns int, handler http.Handler) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	log.Info().Str("addr", listener.Addr().String()).Msg("serving")
+	err = server.Serve(netutil.LimitListener(listener, conns))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	parsed := kong.Parse(new(commands), kong.Name("standin"),
+		kong.Description("Stand-ins for the platform and for backend servers."),
+		kong.BindTo(ctx, (*context.Context)(nil)), kong.Bind(log))
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- /dev/null
+++ b/conf/conf.go
@@ -0,0 +1,206 @@
+// Package conf holds the JSON settings of an entry VM's process.
+package conf
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/strict"
+)
+
+// Entry is the address for callers.
+type Entry struct {
+	Addr string `json:"addr"` // "ip:port".
+	Cert string `json:"cert"` // PEM certificate chain; empty serves without TLS.
+	Key  string `json:"key"`  // PEM private key.
+}
+
+// Admin is the address for operators.
+type Admin struct {
+	Addr string `json:"addr"` // "ip:port".
+}
+
+// Peer sets up the links between entry VMs.
+type Peer struct {
+	Addr string `json:"addr"` // "ip:port".
+	// Secret is the key that all entry VMs share; it signs issued idempotency
+	// keys too.
+	Secret string   `json:"secret"`
+	CA     string   `json:"ca"` // PEM; with Cert and Key it replaces the proof of Secret.
+	Cert   string   `json:"cert"`
+	Key    string   `json:"key"`
+	Seeds  []string `json:"seeds"` // Peer addresses to try first.
+}
+
+// Platform is where the platform's object API answers.
+type Platform struct {
+	URL string `json:"url"`
+}
+
+// Limits bounds what callers may use on this VM.
+type Limits struct {
+	Header int           `json:"header"` // Request header, in bytes.
+	Read   note.Duration `json:"read"`   // Time for a caller to send header and body.
+	Idle   note.Duration `json:"idle"`   // Time that a connection may stay unused.
+	Conns  int           `json:"conns"`  // Connections of callers.
+	Rate   float64       `json:"rate"`   // Requests a second of callers without an account.
+	Burst  int           `json:"burst"`
+}
+
+// Drain sets up the graceful shutdown.
+type Drain struct {
+	// TTL is how long callers keep an answer with addresses. A leaving VM goes on
+	// serving that long.
+	TTL      note.Duration `json:"ttl"`
+	Deadline note.Duration `json:"deadline"` // Time for requests in flight after that.
+}
+
+// Settings are the settings of one entry VM.
+type Settings struct {
+	Name     string   `json:"name"`
+	Zone     string   `json:"zone"`
+	Zones    []string `json:"zones"` // Zones from nearest to farthest; may be empty.
+	Entry    Entry    `json:"entry"`
+	Admin    Admin    `json:"admin"`
+	Peer     Peer     `json:"peer"`
+	Platform Platform `json:"platform"`
+	Limits   Limits   `json:"limits"`
+	Drain    Drain    `json:"drain"`
+	Log      string   `json:"log"`
+}
+
+// Default returns settings with every optional field set.
+func Default() Settings {
+	return Settings{
+		Limits: Limits{
+			Header: 32 << 10,
+			Read:   note.Duration(10 * time.Second),
+			Idle:   note.Duration(time.Minute),
+			Conns:  10000,
+			Rate:   100,
+			Burst:  200,
+		},
+		Drain: Drain{
+			TTL:      note.Duration(30 * time.Second),
+			Deadline: note.Duration(time.Minute),
+		},
+		Log: "info",
+	}
+}
+
+// Load reads the settings file at path. The error is strict.Problems when the
+// file could be read but is wrong.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(data)
+}
+
+// Parse decodes and checks settings. It lists every problem at once.
+func Parse(data []byte) (Settings, error) {
+	s := Default()
+	ps := strict.Decode(data, &s)
+	s.check(&ps)
+	return s, ps.Err()
+}
+
+const (
+	minSecret = 32 // Bytes; the length of the SHA-256 output that it keys.
+	minHeader = 1 << 10
+	maxHeader = 1 << 20
+	maxConns  = 1 << 20
+	maxName   = 63
+)
+
+func (s *Settings) check(ps *strict.Problems) {
+	checkName(ps, "name", s.Name)
+	checkName(ps, "zone", s.Zone)
+	for i, z := range s.Zones {
+		checkName(ps, "zones["+strconv.Itoa(i)+"]", z)
+	}
+	s.checkAddrs(ps)
+	s.checkTLS(ps)
+	if u, err := url.Parse(s.Platform.URL); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		ps.Add("platform.url", strconv.Quote(s.Platform.URL), "an http or https URL")
+	}
+	s.checkLimits(ps)
+	if allowed, ok := strict.OneOf(s.Log, "debug", "info", "warn", "error"); !ok {
+		ps.Add("log", strconv.Quote(s.Log), allowed)
+	}
+}
+
+func checkName(ps *strict.Problems, path, name string) {
+	if name == "" || len(name) > maxName {
+		ps.Add(path, strconv.Quote(name), "a name of 1 to 63 bytes")
+	}
+}
+
+func (s *Settings) checkAddrs(ps *strict.Problems) {
+	checkAddr(ps, "entry.addr", s.Entry.Addr)
+	checkAddr(ps, "admin.addr", s.Admin.Addr)
+	checkAddr(ps, "peer.addr", s.Peer.Addr)
+	for i, seed := range s.Peer.Seeds {
+		checkAddr(ps, "peer.seeds["+strconv.Itoa(i)+"]", seed)
+	}
+	if s.Admin.Addr != "" && s.Admin.Addr == s.Entry.Addr {
+		ps.Add("admin.addr", s.Admin.Addr, "an address other than entry.addr, which callers reach")
+	}
+}
+
+// checkAddr asks for an IP number, since the VMs have no name service.
+func checkAddr(ps *strict.Problems, path, addr string) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		ps.Add(path, strconv.Quote(addr), `an IP number and port such as "10.0.0.1:8000"`)
+	}
+}
+
+func (s *Settings) checkTLS(ps *strict.Problems) {
+	if (s.Entry.Cert == "") != (s.Entry.Key == "") {
+		ps.Add("entry.cert", "one of cert and key is empty", "both or none")
+	}
+	set := 0
+	for _, field := range []string{s.Peer.CA, s.Peer.Cert, s.Peer.Key} {
+		if field != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		ps.Add("peer.ca", "some of ca, cert and key are empty", "all three or none")
+	}
+	if len(s.Peer.Secret) < minSecret {
+		ps.Add("peer.secret", strconv.Itoa(len(s.Peer.Secret))+" bytes", "at least 32 bytes")
+	}
+}
+
+func (s *Settings) checkLimits(ps *strict.Problems) {
+	checkRange(ps, "limits.header", s.Limits.Header, minHeader, maxHeader)
+	checkRange(ps, "limits.conns", s.Limits.Conns, 1, maxConns)
+	checkSpan(ps, "limits.read", s.Limits.Read)
+	checkSpan(ps, "limits.idle", s.Limits.Idle)
+	checkSpan(ps, "drain.ttl", s.Drain.TTL)
+	checkSpan(ps, "drain.deadline", s.Drain.Deadline)
+	if s.Limits.Rate <= 0 {
+		ps.Add("limits.rate", s.Limits.Rate, "a number above 0")
+	}
+	checkRange(ps, "limits.burst", s.Limits.Burst, 1, maxConns)
+}
+
+func checkRange(ps *strict.Problems, path string, value, low, high int) {
+	if value < low || value > high {
+		ps.Add(path, value, strconv.Itoa(low)+" to "+strconv.Itoa(high))
+	}
+}
+
+const maxSpan = time.Hour
+
+func checkSpan(ps *strict.Problems, path string, d note.Duration) {
+	if d.Std() <= 0 || d.Std() > maxSpan {
+		ps.Add(path, d.Std(), "a duration above 0s and up to 1h")
+	}
+}
--- /dev/null
+++ b/conf/conf_test.go
@@ -0,0 +1,57 @@
+package conf
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/azuredeal/azuredeal/strict"
+)
+
+func TestLoadGood(t *testing.T) {
+	s, err := Load("testdata/good.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Drain.TTL.Std(); got != 2*time.Second {
+		t.Errorf("drain.ttl = %v, want 2s", got)
+	}
+	if got := s.Limits.Header; got != Default().Limits.Header {
+		t.Errorf("limits.header = %d, want the default", got)
+	}
+}
+
+// An operator must see every problem of a file at once, not the first one only.
+func TestLoadBadListsEveryProblem(t *testing.T) {
+	_, err := Load("testdata/bad.json")
+	want, readErr := os.ReadFile("testdata/bad.golden")
+	if readErr != nil {
+		t.Fatal(readErr)
+	}
+	if got := err.Error() + "\n"; got != string(want) {
+		t.Errorf("problems differ from testdata/bad.golden:\n%s", got)
+	}
+}
+
+func TestParseRefusesTrailingData(t *testing.T) {
+	if _, err := Parse([]byte(`{} {}`)); err == nil {
+		t.Error("trailing data was accepted")
+	}
+}
+
+// Settings come from files that people edit; no input may crash the process.
+func FuzzParse(f *testing.F) {
+	good, err := os.ReadFile("testdata/good.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte(`{"peer":{"seeds":[null,{}]},"limits":null}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := Parse(data)
+		if ps, ok := err.(strict.Problems); ok && len(ps) == 0 {
+			t.Error("an error without problems")
+		}
+	})
+}
--- /dev/null
+++ b/worker/worker_test.go
@@ -0,0 +1,81 @@
+package worker
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func request(method, key string) *http.Request {
+	r := httptest.NewRequest(method, "/orders", strings.NewReader("plate 7"))
+	r.Header.Set(headerID, "id-1")
+	r.Header.Set(headerKey, key)
+	return r
+}
+
+// A proxy relies on "refused" meaning that the action was not started.
+func TestRefusalStartsNoAction(t *testing.T) {
+	tests := []struct {
+		name  string
+		setup func(*Server)
+		want  string
+	}{
+		{"cold", func(s *Server) { s.opts.Cold = time.Minute }, refusedCold},
+		{"draining", func(s *Server) { s.Drain() }, refusedDraining},
+		{"shed", func(s *Server) {
+			for range s.opts.Slots {
+				s.slots <- struct{}{}
+			}
+		}, refusedShed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(Options{Slots: 3, Median: time.Millisecond})
+			tt.setup(s)
+			rec := httptest.NewRecorder()
+			s.Handler().ServeHTTP(rec, request(http.MethodPost, "k"))
+			if got := rec.Header().Get(headerRefused); got != tt.want {
+				t.Errorf("refused = %q, want %q", got, tt.want)
+			}
+			if n := s.Runs()["k"]; n != 0 {
+				t.Errorf("action started %d times, want 0", n)
+			}
+		})
+	}
+}
+
+// A stall must pass probes, otherwise tests of gray failures prove nothing.
+func TestStallPassesProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Slots: 3, Median: time.Millisecond})
+		s.Set(Behavior{Mode: Stall})
+		rec := httptest.NewRecorder()
+		s.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/healthz", nil))
+		if rec.Code != http.StatusOK {
+			t.Errorf("probe = %d, want 200", rec.Code)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		start := time.Now()
+		s.Handler().ServeHTTP(httptest.NewRecorder(), request(http.MethodPost, "k").WithContext(ctx))
+		if took := time.Since(start); took != time.Minute {
+			t.Errorf("request ended after %v, want the caller's minute", took)
+		}
+		if n := s.Runs()["k"]; n != 1 {
+			t.Errorf("action started %d times, want 1", n)
+		}
+	})
+}
+
+func TestBehaviorFlaps(t *testing.T) {
+	b := Behavior{Mode: Stall, Period: 2 * time.Second}
+	for since, want := range map[time.Duration]bool{0: true, 1500 * time.Millisecond: false, 2100 * time.Millisecond: true} {
+		if got := b.active(since); got != want {
+			t.Errorf("active(%v) = %v, want %v", since, got, want)
+		}
+	}
+}
