--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,65 @@
+package admin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/strict"
+)
+
+func call(h http.Handler, method, path, body, token string) (int, string) {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+token)
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, r)
+	data, _ := io.ReadAll(rec.Body)
+	return rec.Code, string(data)
+}
+
+// Operators must learn why a note was refused: each problem by path, or the
+// generation that won.
+func TestPublishRefusals(t *testing.T) {
+	var ps strict.Problems
+	ps.Add("added.services[0].floor", 30, "0 to 20")
+	tests := []struct {
+		name   string
+		err    error
+		status int
+		text   string
+	}{
+		{"problems", ps, http.StatusUnprocessableEntity, "added.services[0].floor"},
+		{"conflict", fault.New(fault.Conflict, "generation 7 is in effect"), http.StatusConflict, "generation 7"},
+		{"platform", fault.New(fault.PlatformDown, "no answer"), http.StatusServiceUnavailable, `"ran":"unknown"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := New(Options{Publish: func(context.Context, []byte) (uint64, error) { return 0, tt.err }})
+			status, body := call(h, http.MethodPost, "/v1/releases", "{}", "")
+			if status != tt.status || !strings.Contains(body, tt.text) {
+				t.Errorf("got %d %s, want %d with %q", status, body, tt.status, tt.text)
+			}
+		})
+	}
+}
+
+func TestTokenGuardsEverythingButHealth(t *testing.T) {
+	h := New(Options{
+		Token: "operators' token",
+		Dump:  func(context.Context) (any, error) { return map[string]int{"generation": 3}, nil },
+		Ready: func() error { return nil },
+	})
+	for path, want := range map[string]int{"/v1/dump": 401, "/metrics": 401, "/readyz": 200, "/livez": 200, "/openapi.json": 401} {
+		if status, _ := call(h, http.MethodGet, path, "", "wrong"); status != want {
+			t.Errorf("%s with a wrong token = %d, want %d", path, status, want)
+		}
+	}
+	if status, body := call(h, http.MethodGet, "/v1/dump", "", "operators' token"); status != 200 || !strings.Contains(body, `"generation":3`) {
+		t.Errorf("dump = %d %s", status, body)
+	}
+}
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -21,7 +21,8 @@
 
 // Admin is the address for operators.
 type Admin struct {
-	Addr string `json:"addr"` // "ip:port".
+	Addr  string `json:"addr"`  // "ip:port".
+	Token string `json:"token"` // Bearer token of operators; empty asks for none.
 }
 
 // Peer sets up the links between entry VMs.
