--- /dev/null
+++ b/strict/strict_test.go
@@ -0,0 +1,69 @@
+package strict
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+type inner struct {
+	Size int `json:"size"`
+}
+
+type outer struct {
+	Name  string    `json:"name"`
+	Items []inner   `json:"items"`
+	One   inner     `json:"one"`
+	Rate  float64   `json:"rate"`
+	At    time.Time `json:"at"`
+}
+
+// One problem must not hide the others, and a wrong field must not stop the
+// fields after it from being read.
+func TestDecode(t *testing.T) {
+	tests := []struct {
+		name  string
+		in    string
+		paths []string
+	}{
+		{"good", `{"name":"a","items":[{"size":1}],"rate":1.5}`, nil},
+		{"syntax", `{"name":`, []string{"$"}},
+		{"trailing data", `{} {}`, []string{"$"}},
+		{"not an object", `[]`, []string{"$"}},
+		{"null", `null`, []string{"$"}},
+		{"several", `{"name":1,"items":[{"size":"x"},{"siez":1}],"other":2}`, []string{"name", "items[0].size", "items[1].siez", "other"}},
+		{"repeated", `{"name":"a","name":"b"}`, []string{"name"}},
+		{"nested null", `{"one":null,"items":null}`, []string{"one"}},
+		{"own unmarshaler", `{"at":"noon"}`, []string{"at"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var v outer
+			ps := Decode([]byte(tt.in), &v)
+			if len(ps) != len(tt.paths) {
+				t.Fatalf("problems = %v, want paths %v", ps, tt.paths)
+			}
+			for i, p := range ps {
+				if p.Path() != tt.paths[i] {
+					t.Errorf("problem %d at %q, want %q", i, p.Path(), tt.paths[i])
+				}
+			}
+		})
+	}
+}
+
+func TestDecodeGoesOnAfterProblem(t *testing.T) {
+	var v outer
+	Decode([]byte(`{"name":1,"one":{"size":4}}`), &v)
+	if v.One.Size != 4 {
+		t.Errorf("one.size = %d, want 4", v.One.Size)
+	}
+}
+
+func ExampleDecode() {
+	var v struct {
+		Floor int `json:"floor"`
+	}
+	fmt.Println(Decode([]byte(`{"floor":"ten"}`), &v))
+	// Output: floor: "ten": allowed: a whole number
+}
