--- /dev/null
+++ b/health/baseline.go
@@ -0,0 +1,119 @@
+package health
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	tailQuantile  = 0.98
+	tailStep      = 0.1 // Step of the tail estimate, natural log.
+	learnAfter    = 50  // Samples before the tail estimate is used.
+	slowAtLeast   = 4   // Slow is at least this many medians.
+	badWhenSick   = 0.8 // Assumed share of bad exchanges of an unhealthy server.
+	badAtLeast    = 0.01
+	badAtMost     = 0.75
+	trimShare     = 0.25 // Worst servers left out of the rate of the service.
+	refreshPeriod = time.Second
+	sampleServers = 512 // Servers whose medians are compared at most.
+)
+
+// baseline is what is typical of the service.
+type baseline struct {
+	tail   float64 // Estimated 98th percentile, natural log of seconds.
+	seen   int
+	median time.Duration
+	at     time.Time
+	good   float64 // Evidence of one good exchange, in nats, negative.
+	bad    float64 // Evidence of one bad exchange, in nats.
+}
+
+func newBaseline() baseline {
+	b := baseline{}
+	b.weigh(0)
+	return b
+}
+
+// weigh sets the evidence of one exchange from the share of bad exchanges of a
+// typical server. The more a shared cause makes all servers fail, the less a
+// bad exchange says about one of them.
+func (b *baseline) weigh(rate float64) {
+	rate = min(max(rate, badAtLeast), badAtMost)
+	b.bad = math.Log(badWhenSick / rate)
+	b.good = math.Log((1 - badWhenSick) / (1 - rate))
+}
+
+// learn moves the tail estimate. A step up is 49 times a step down, so the
+// estimate settles where 2% of the samples lie above it.
+func (b *baseline) learn(took time.Duration) {
+	x := math.Log(max(took.Seconds(), 1e-6))
+	if b.seen == 0 {
+		b.tail = x
+	}
+	b.seen++
+	if x > b.tail {
+		b.tail += tailStep * tailQuantile
+	} else {
+		b.tail -= tailStep * (1 - tailQuantile)
+	}
+}
+
+func (b *baseline) slow(margin float64) time.Duration {
+	if b.seen < learnAfter || b.median == 0 {
+		return 0
+	}
+	tail := time.Duration(math.Exp(b.tail) * margin * float64(time.Second))
+	return max(tail, slowAtLeast*b.median)
+}
+
+// refresh compares the medians of the servers; the median of those is typical
+// of the service, whatever a minority of servers does.
+func (g *Group) refresh(now time.Time) {
+	if now.Sub(g.base.at) < refreshPeriod {
+		return
+	}
+	g.base.at = now
+	stride := max(1, len(g.records)/sampleServers)
+	medians := make([]time.Duration, 0, sampleServers+1)
+	for i := 0; i < len(g.records); i += stride {
+		if m := g.records[i].reported(); m > 0 {
+			medians = append(medians, m)
+		}
+	}
+	if len(medians) == 0 {
+		return
+	}
+	slices.Sort(medians)
+	g.base.median = medians[len(medians)/2]
+}
+
+// rate returns the share of bad exchanges of the service without its worst
+// servers: one unhealthy server leaves it low, a shared cause raises it.
+func (g *Group) rate() float64 {
+	var good, bad float64
+	g.order = g.order[:0]
+	for i, r := range g.records {
+		good += r.tally.good
+		bad += r.tally.bad
+		if r.tally.bad > 0 {
+			g.order = append(g.order, i)
+		}
+	}
+	if len(g.order) == 0 {
+		return 0
+	}
+	slices.SortStableFunc(g.order, func(a, b int) int {
+		return cmp.Compare(g.records[b].tally.bad, g.records[a].tally.bad)
+	})
+	trim := max(1, int(trimShare*float64(len(g.records))))
+	for _, i := range g.order[:min(trim, len(g.order))] {
+		good -= g.records[i].tally.good
+		bad -= g.records[i].tally.bad
+	}
+	if good+bad < 1 {
+		return 0
+	}
+	return bad / (good + bad)
+}
--- /dev/null
+++ b/health/decide.go
@@ -0,0 +1,345 @@
+package health
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	reducedWeight = 0.1
+	trialWeight   = 0.05
+	coldWeight    = 0.05
+	startWeight   = 0.2
+	usableWeight  = 0.5 // Least weight that counts towards the floor.
+	rampTime      = 6 * time.Second
+	reducedHold   = 2 * time.Second
+	reducedMost   = 8 * time.Second
+	levelHalfLife = 4 * time.Second
+	flapHalfLife  = 2 * time.Minute
+	ejectionMost  = 5 * time.Minute
+	sharedShare   = 0.4 // Suspects above this share of the servers are a shared cause.
+	zoneShare     = 0.6 // The same within one zone.
+	quietScore    = 1.0 // Evidence below this lets a reduced server return.
+	twoOrigins    = 2   // VMs that must agree on an ejection where there are peers.
+)
+
+// zoneCount counts the servers of a zone.
+type zoneCount struct {
+	name     string
+	servers  int
+	suspects int
+}
+
+func (g *Group) countZones() {
+	g.zones = g.zones[:0]
+	for _, r := range g.records {
+		g.zone(r.zone).servers++
+	}
+}
+
+func (g *Group) zone(name string) *zoneCount {
+	for i := range g.zones {
+		if g.zones[i].name == name {
+			return &g.zones[i]
+		}
+	}
+	g.zones = append(g.zones, zoneCount{name: name})
+	return &g.zones[len(g.zones)-1]
+}
+
+// Decide returns a decision for each server, in the order of Set. The slice is
+// reused by the next call.
+func (g *Group) Decide(now time.Time) []Decision {
+	g.refresh(now)
+	for _, r := range g.records {
+		r.count(now, g.policy.window)
+	}
+	g.base.weigh(g.rate())
+	shared := g.judge(now)
+	for _, r := range g.records {
+		g.step(now, r, shared)
+		r.setWeight(now)
+	}
+	g.keepFloor(now)
+	g.decisions = g.decisions[:0]
+	for _, r := range g.records {
+		g.decisions = append(g.decisions, Decision{r.addr, r.state, r.weight, r.reason})
+	}
+	return g.decisions
+}
+
+// count sums up the evidence of all VMs about the server.
+func (r *record) count(now time.Time, window time.Duration) {
+	sum := r.sum(now, window)
+	t := tally{good: float64(sum.good), own: float64(sum.bad)}
+	if r.stalled {
+		t.own++
+	}
+	t.bad = t.own
+	if t.own > 0 {
+		t.origins++
+	}
+	for i := range r.words {
+		w := &r.words[i]
+		if now.Sub(w.at) >= wordAge {
+			continue
+		}
+		t.voices++
+		t.others += float64(w.good)
+		t.against += w.against()
+		if w.against() > 0 {
+			t.origins++
+		}
+	}
+	t.good += t.others
+	t.bad += t.against
+	r.tally = t
+}
+
+// judge turns the tallies into scores and reports whether a shared cause
+// affects the service.
+func (g *Group) judge(now time.Time) bool {
+	for i := range g.zones {
+		g.zones[i].suspects = 0
+	}
+	suspects, capacity := 0, 0
+	for _, r := range g.records {
+		pooled := r.tally.good*g.base.good + r.tally.bad*g.base.bad
+		r.score = max(0, pooled)
+		r.level = max(r.score, r.level*math.Exp2(-float64(now.Sub(r.levelAt))/float64(levelHalfLife)))
+		r.levelAt = now
+		if !r.capacity(now) {
+			continue
+		}
+		capacity++
+		if r.suspect(g.policy) {
+			suspects++
+			g.zone(r.zone).suspects++
+		}
+	}
+	return suspects > 1 && float64(suspects) > sharedShare*float64(capacity)
+}
+
+func (r *record) suspect(p Policy) bool {
+	return r.score >= p.reduce || r.state == Reduced || r.state == Trial || r.state == Ejected
+}
+
+// zoneCause reports whether most servers of the zone are suspects while there
+// are other zones.
+func (g *Group) zoneCause(name string) bool {
+	z := g.zone(name)
+	return len(g.zones) > 1 && z.servers > 1 && float64(z.suspects) >= zoneShare*float64(z.servers)
+}
+
+// local reports whether other VMs exchange well with a server that this VM
+// finds bad.
+func (r *record) local() bool {
+	return r.tally.own > 0 && r.tally.voices >= twoOrigins && r.tally.others >= 2 &&
+		r.tally.others > 4*r.tally.against
+}
+
+// step moves the state machine of one server.
+func (g *Group) step(now time.Time, r *record, shared bool) {
+	if r.stated(now) {
+		return
+	}
+	switch r.state {
+	case Healthy, Starting:
+		g.stepUp(now, r, shared)
+	case Reduced:
+		g.stepReduced(now, r, shared)
+	case Trial:
+		g.stepTrial(now, r, shared)
+	case Ejected:
+		if !now.Before(r.until) && !r.probeFails {
+			r.enter(now, Trial, "ejection over")
+		}
+	case Draining, Leaving:
+		r.restart(now, "back in service")
+	}
+}
+
+// stated handles what the server or the release says about the server itself.
+// It reports whether that settles the decision.
+func (r *record) stated(now time.Time) bool {
+	switch c := r.condition(now); {
+	case r.leaving:
+		if r.state != Leaving {
+			r.enter(now, Leaving, "leaving by release")
+		}
+		return true
+	case c == Drains:
+		if r.state != Draining {
+			r.enter(now, Draining, "refuses new work")
+		}
+		return true
+	case c == Warms:
+		if r.state != Starting {
+			r.enter(now, Starting, "cold")
+		}
+		r.since, r.ramp, r.reason = now, coldWeight, "cold"
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *record) restart(now time.Time, reason string) {
+	r.enter(now, Starting, reason)
+	r.ramp = startWeight
+	r.own, r.level = 0, 0
+}
+
+func (g *Group) stepUp(now time.Time, r *record, shared bool) {
+	switch {
+	case shared:
+	case r.score >= g.policy.reduce:
+		r.enter(now, Reduced, "evidence of several VMs")
+		return
+	case r.decayed(now)+g.stallEvidence(r) >= g.policy.reduce:
+		if r.local() {
+			r.enter(now, Trial, "bad from this VM only")
+		} else {
+			r.enter(now, Reduced, "evidence of this VM")
+		}
+		return
+	}
+	if r.state == Starting && now.Sub(r.since) >= rampTime {
+		r.enter(now, Healthy, "")
+	}
+	if r.state == Healthy {
+		r.calm(now)
+	}
+}
+
+func (g *Group) stallEvidence(r *record) float64 {
+	if r.stalled {
+		return g.base.bad
+	}
+	return 0
+}
+
+// calm lets the count of ejections decay while the server is healthy.
+func (r *record) calm(now time.Time) {
+	if r.flaps > 0 {
+		r.flaps *= math.Exp2(-float64(now.Sub(r.flapsAt)) / float64(flapHalfLife))
+	}
+	r.flapsAt = now
+}
+
+func (g *Group) stepReduced(now time.Time, r *record, shared bool) {
+	spent := now.Sub(r.since)
+	switch {
+	case shared:
+		if spent >= reducedHold {
+			r.restart(now, "shared cause")
+		}
+	case g.ejectable(now, r):
+		g.eject(now, r)
+	case spent >= reducedHold && r.score < quietScore && !r.stalled && r.passed > r.failed:
+		r.restart(now, "evidence has passed")
+	case spent >= reducedMost && !g.zoneCause(r.zone):
+		r.enter(now, Trial, "suspected for long")
+	}
+}
+
+// ejectable reports whether the evidence holds for an ejection.
+func (g *Group) ejectable(now time.Time, r *record) bool {
+	if now.Sub(r.since) < g.policy.confirm || g.zoneCause(r.zone) || r.local() {
+		return false
+	}
+	if r.tally.voices > 0 && r.tally.origins < twoOrigins {
+		return false
+	}
+	strong := max(r.level, r.decayed(now)+g.stallEvidence(r))
+	return strong >= g.policy.eject && r.passed < max(1, r.failed)
+}
+
+func (g *Group) stepTrial(now time.Time, r *record, shared bool) {
+	switch {
+	case r.failed > 0 || r.stalled:
+		if shared || g.zoneCause(r.zone) || r.local() {
+			r.enter(now, Trial, r.reason)
+			return
+		}
+		g.eject(now, r)
+	case r.passed >= g.policy.passes:
+		r.restart(now, "trial passed")
+	}
+}
+
+// eject starts an ejection that doubles with each recent one.
+func (g *Group) eject(now time.Time, r *record) {
+	r.calm(now)
+	span := float64(g.policy.base) * math.Exp2(r.flaps)
+	r.until = now.Add(time.Duration(min(span, float64(ejectionMost))))
+	r.flaps++
+	r.enter(now, Ejected, "evidence holds")
+}
+
+func (r *record) setWeight(now time.Time) {
+	switch r.state {
+	case Healthy:
+		r.weight = 1
+	case Reduced:
+		r.weight = reducedWeight
+	case Trial:
+		r.weight = trialWeight
+	case Starting:
+		part := min(1, float64(now.Sub(r.since))/float64(rampTime))
+		r.weight = r.ramp + (1-r.ramp)*part
+	default:
+		r.weight = 0
+	}
+}
+
+// keepFloor raises the least suspect servers until as many as the floor asks
+// for are usable. Servers that are draining, cold or leaving have no capacity.
+func (g *Group) keepFloor(now time.Time) {
+	usable := 0
+	g.order = g.order[:0]
+	for i, r := range g.records {
+		if !r.capacity(now) {
+			continue
+		}
+		if r.weight >= usableWeight {
+			usable++
+			continue
+		}
+		g.order = append(g.order, i)
+	}
+	need := g.floor - usable
+	if need <= 0 {
+		return
+	}
+	slices.SortStableFunc(g.order, func(a, b int) int {
+		x, y := g.records[a], g.records[b]
+		if x.state != y.state {
+			return x.rank() - y.rank()
+		}
+		return cmp.Compare(x.level, y.level)
+	})
+	for _, i := range g.order[:min(need, len(g.order))] {
+		r := g.records[i]
+		r.weight = usableWeight
+		if r.state == Ejected {
+			r.enter(now, Reduced, "kept for the floor")
+		}
+	}
+}
+
+// rank orders states from the one to be raised first.
+func (r *record) rank() int {
+	switch r.state {
+	case Starting:
+		return 0
+	case Reduced:
+		return 1
+	case Trial:
+		return 2
+	default:
+		return 3
+	}
+}
--- /dev/null
+++ b/health/policy.go
@@ -0,0 +1,51 @@
+package health
+
+import (
+	"time"
+
+	"github.com/azuredeal/azuredeal/note"
+)
+
+// Policy says how much evidence a decision needs. Evidence is a log-likelihood
+// ratio in nats: how much likelier the exchanges are from an unhealthy server
+// than from a typical server of the service.
+type Policy struct {
+	window  time.Duration // Exchanges that count, and that reports cover.
+	reduce  float64       // Evidence for a reduced share, in nats.
+	eject   float64       // Evidence for an ejection, in nats.
+	confirm time.Duration // Reduced share that precedes an ejection.
+	margin  float64       // Slow means above the 98th percentile times margin.
+	passes  int           // Good exchanges that end a trial.
+	base    time.Duration // First ejection.
+}
+
+// NewPolicy returns the policy for d. An unknown profile is read as steady and
+// a bias outside 0 to 1 is clamped, so that a faulty note errs towards fewer
+// ejections.
+func NewPolicy(d note.Detection) Policy {
+	bias := min(max(d.Bias, 0), 1)
+	if d.Profile == note.ProfileFast {
+		return Policy{
+			window:  scale(time.Second, 1+bias/2),
+			reduce:  9 + 4*bias,
+			eject:   18 + 6*bias,
+			confirm: scale(time.Second, 1+bias),
+			margin:  1.5 + bias/2,
+			passes:  3,
+			base:    5 * time.Second,
+		}
+	}
+	return Policy{
+		window:  scale(1500*time.Millisecond, 1+bias/3),
+		reduce:  13 + 4*bias,
+		eject:   24 + 6*bias,
+		confirm: scale(2*time.Second, 1+bias),
+		margin:  2 + bias/2,
+		passes:  4,
+		base:    8 * time.Second,
+	}
+}
+
+func scale(d time.Duration, by float64) time.Duration {
+	return time.Duration(float64(d) * by)
+}
--- /dev/null
+++ b/health/record.go
@@ -0,0 +1,160 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	mismatchWeight = 2 // Bad exchanges that one mismatch counts as.
+	maxCount       = 64
+	bucketCount    = 4
+	ownHalfLife    = 15 * time.Second
+	learnStep      = 0.15 // Step of the median estimate, natural log.
+	drainHold      = 60 * time.Second
+	coldHold       = 1500 * time.Millisecond
+)
+
+// bucket counts the exchanges of a quarter of the window.
+type bucket struct {
+	slot        int64
+	good        uint32
+	bad         uint32
+	unreachable uint32
+}
+
+// record is what a group knows about one server.
+type record struct {
+	Server
+
+	// Evidence of this VM.
+	buckets   [bucketCount + 1]bucket
+	own       float64 // Cumulative sum of evidence, at least 0, in nats.
+	ownAt     time.Time
+	stalled   bool
+	stallFrom time.Time
+	typical   float64 // Estimated median, natural log of seconds.
+	seen      int
+	goodAt    time.Time
+	passed    int // Good exchanges in the current state.
+	failed    int // Bad exchanges in the current state.
+
+	// What the server states about itself, and probes.
+	drainAt     time.Time
+	coldAt      time.Time
+	probeFails  bool
+	probeFailAt time.Time
+
+	words []word // Reports of other VMs, by origin.
+
+	// Decision.
+	tally   tally
+	score   float64 // Evidence of all VMs, in nats.
+	level   float64 // Highest recent score; decays.
+	levelAt time.Time
+	state   State
+	since   time.Time
+	until   time.Time // End of an ejection.
+	flaps   float64   // Ejections, decaying while the server is healthy.
+	flapsAt time.Time
+	ramp    float64 // Weight at the start of a slow start.
+	weight  float64
+	reason  string
+}
+
+// tally is the evidence of a window.
+type tally struct {
+	good    float64
+	bad     float64
+	origins int     // VMs that hold something against the server.
+	others  float64 // Good exchanges that other VMs report.
+	against float64 // Bad exchanges and stalls that other VMs report.
+	voices  int     // Other VMs with a fresh report.
+	own     float64 // Bad exchanges and stalls of this VM.
+}
+
+func (r *record) bucket(now time.Time, window time.Duration) *bucket {
+	slot := now.UnixNano() / (int64(window) / bucketCount)
+	b := &r.buckets[slot%int64(len(r.buckets))]
+	if b.slot != slot {
+		*b = bucket{slot: slot}
+	}
+	return b
+}
+
+// sum returns the exchanges of the window.
+func (r *record) sum(now time.Time, window time.Duration) bucket {
+	slot := now.UnixNano() / (int64(window) / bucketCount)
+	var out bucket
+	for i := range r.buckets {
+		b := &r.buckets[i]
+		if b.slot <= slot-bucketCount || b.slot > slot {
+			continue
+		}
+		out.good += b.good
+		out.bad += b.bad
+		out.unreachable += b.unreachable
+	}
+	return out
+}
+
+func (r *record) decayed(now time.Time) float64 {
+	if r.own > 0 {
+		r.own *= math.Exp2(-float64(now.Sub(r.ownAt)) / float64(ownHalfLife))
+	}
+	r.ownAt = now
+	return r.own
+}
+
+// learn moves the median estimate by a fixed step towards the sample, so one
+// extreme sample moves it no more than any other.
+func (r *record) learn(took time.Duration) {
+	x := math.Log(max(took.Seconds(), 1e-6))
+	if r.seen == 0 {
+		r.typical = x
+	}
+	r.seen++
+	step := learnStep
+	if r.seen < 16 {
+		step *= 2
+	}
+	if x > r.typical {
+		r.typical += step
+	} else {
+		r.typical -= step
+	}
+}
+
+func (r *record) median() time.Duration {
+	if r.seen == 0 {
+		return 0
+	}
+	return time.Duration(math.Exp(r.typical) * float64(time.Second))
+}
+
+func (r *record) drains(at time.Time) {
+	if at.After(r.drainAt) {
+		r.drainAt = at
+	}
+}
+
+func (r *record) condition(now time.Time) Condition {
+	switch {
+	case !r.drainAt.IsZero() && now.Sub(r.drainAt) < drainHold:
+		return Drains
+	case !r.coldAt.IsZero() && now.Sub(r.coldAt) < coldHold:
+		return Warms
+	default:
+		return Normal
+	}
+}
+
+// capacity reports whether the server may count towards the floor.
+func (r *record) capacity(now time.Time) bool {
+	return !r.leaving && r.condition(now) == Normal
+}
+
+func (r *record) enter(now time.Time, s State, reason string) {
+	r.state, r.since, r.reason = s, now, reason
+	r.passed, r.failed = 0, 0
+}
