--- a/pick/pick.go
+++ b/pick/pick.go
@@ -3,7 +3,8 @@
 
 import (
 	"math"
-	"math/rand/v2"
+	"math/bits"
+	"slices"
 	"sync/atomic"
 )
 
@@ -47,31 +48,184 @@
 // Inflight returns the attempts of this VM that are in flight.
 func (t *Target) Inflight() int { return int(t.inflight.Load()) }
 
-// Picker chooses among the targets of one service.
+// capacity is the share of work the target may get, in slots.
+func (t *Target) capacity() float64 { return t.Weight() * float64(t.slots) }
+
+// load is the work of this VM at the target over its capacity.
+func (t *Target) load() float64 { return float64(t.Inflight()) / t.capacity() }
+
+// loadNext is load with one more request in flight. Unlike load it tells an
+// idle target with a low weight from an idle healthy one.
+func (t *Target) loadNext() float64 { return float64(t.Inflight()+1) / t.capacity() }
+
+const (
+	// zoneSlack is how far the load of a target in the VM's own zone may exceed
+	// that of the other choice. Below 2, a target of the own zone with one
+	// request in flight loses to an idle one elsewhere.
+	zoneSlack = 1.5
+	// drawTries bounds rejection sampling; after that a scan decides.
+	drawTries = 8
+)
+
+// view is the immutable list that one Set call installs.
+type view struct {
+	all      []*Target
+	own      []*Target // Those in the zone of the VM.
+	maxSlots int
+}
+
+// Picker chooses among the targets of one service. Its methods may be called
+// from many goroutines.
 type Picker struct {
-	zone    string
-	targets atomic.Pointer[[]*Target]
-	intn    func(n int) int
+	zone  string
+	seed  uint64
+	picks atomic.Uint64 // Numbers the calls; each draws from its own sequence.
+	view  atomic.Pointer[view]
 }
 
 // New returns a picker for a VM in the given zone; seed fixes its choices.
 func New(zone string, seed uint64) *Picker {
-	source := rand.New(rand.NewPCG(seed, 0))
-	return &Picker{zone: zone, intn: source.IntN}
+	return &Picker{zone: zone, seed: seed}
 }
 
 // Set replaces the targets.
-func (p *Picker) Set(targets []*Target) { p.targets.Store(&targets) }
+func (p *Picker) Set(targets []*Target) {
+	v := &view{all: targets}
+	for _, t := range targets {
+		v.maxSlots = max(v.maxSlots, t.slots)
+		if t.zone == p.zone {
+			v.own = append(v.own, t)
+		}
+	}
+	p.view.Store(v)
+}
 
 // Targets returns the targets; the slice must not be changed.
 func (p *Picker) Targets() []*Target {
-	if list := p.targets.Load(); list != nil {
-		return *list
+	if v := p.view.Load(); v != nil {
+		return v.all
 	}
 	return nil
 }
 
 // Pick returns a target that is not among tried, or nil when none has weight.
-func (p *Picker) Pick(_ []*Target) *Target {
-	return nil
+//
+// It draws two targets with probability proportional to their capacity and
+// returns the less loaded one, so a target with a reduced weight still gets its
+// reduced share while the VM is idle. When the first draw is in another zone,
+// the second is from the zone of the VM.
+func (p *Picker) Pick(tried []*Target) *Target {
+	v := p.view.Load()
+	if v == nil {
+		return nil
+	}
+	r := sequence(mix(p.seed ^ mix(p.picks.Add(1))))
+	a := v.draw(&r, v.all, tried, nil)
+	if a == nil {
+		return nil
+	}
+	b := p.second(v, &r, tried, a)
+	if b == nil {
+		return a
+	}
+	return p.better(a, b)
+}
+
+func (p *Picker) second(v *view, r *sequence, tried []*Target, first *Target) *Target {
+	if first.zone != p.zone {
+		if t := v.draw(r, v.own, tried, first); t != nil {
+			return t
+		}
+	}
+	return v.draw(r, v.all, tried, first)
+}
+
+// better returns the choice between two draws; a was drawn first.
+func (p *Picker) better(a, b *Target) *Target {
+	if (a.zone == p.zone) == (b.zone == p.zone) {
+		if b.load() < a.load() {
+			return b
+		}
+		return a
+	}
+	own, other := a, b
+	if b.zone == p.zone {
+		own, other = b, a
+	}
+	if own.loadNext() <= zoneSlack*other.loadNext() {
+		return own
+	}
+	return other
+}
+
+// draw returns one of list with probability proportional to capacity. It skips
+// targets without weight, those in tried, and not.
+func (v *view) draw(r *sequence, list, tried []*Target, not *Target) *Target {
+	if len(list) == 0 {
+		return nil
+	}
+	for range drawTries {
+		t := list[r.intn(len(list))]
+		if usable(t, tried, not) && r.float()*float64(v.maxSlots) < t.capacity() {
+			return t
+		}
+	}
+	return scan(r, list, tried, not)
+}
+
+// scan draws as draw does, in time proportional to the list. Weights may change
+// between its passes, so the last usable target stands in at the end.
+func scan(r *sequence, list, tried []*Target, not *Target) *Target {
+	var total float64
+	for _, t := range list {
+		if usable(t, tried, not) {
+			total += t.capacity()
+		}
+	}
+	left := r.float() * total
+	var last *Target
+	for _, t := range list {
+		if !usable(t, tried, not) {
+			continue
+		}
+		last = t
+		left -= t.capacity()
+		if left < 0 {
+			break
+		}
+	}
+	return last
+}
+
+func usable(t *Target, tried []*Target, not *Target) bool {
+	return t != not && t.capacity() > 0 && !slices.Contains(tried, t)
+}
+
+// sequence is a SplitMix64 generator. One per call needs no lock, where a
+// generator shared by goroutines would.
+type sequence uint64
+
+const golden = 0x9e3779b97f4a7c15 // Increment of SplitMix64.
+
+func (s *sequence) next() uint64 {
+	*s += golden
+	return mix(uint64(*s))
+}
+
+func (s *sequence) intn(n int) int {
+	hi, _ := bits.Mul64(s.next(), uint64(n))
+	return int(hi)
+}
+
+// float returns a number in [0, 1).
+func (s *sequence) float() float64 {
+	const mantissa = 53 // Bits of precision of a float64.
+	return float64(s.next()>>(64-mantissa)) / (1 << mantissa)
+}
+
+// mix is the output function of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,292 @@
+package pick_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/azuredeal/azuredeal/pick"
+)
+
+const testSeed = 7
+
+func targets(n, zones, first int) []*pick.Target {
+	out := make([]*pick.Target, n)
+	for i := range out {
+		addr := fmt.Sprintf("10.0.%d.%d:80", (first+i)/250, (first+i)%250)
+		out[i] = pick.NewTarget(addr, fmt.Sprintf("z%d", i%zones), 3)
+	}
+	return out
+}
+
+// Guards against an attempt at an ejected server or at one already tried.
+func TestPickSkipsZeroWeightAndTried(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(testSeed)
+	props := gopter.NewProperties(params)
+	props.Property("only usable targets", prop.ForAll(func(weights []int, used []bool) bool {
+		list := targets(len(weights), 3, 0)
+		var tried []*pick.Target
+		usable := 0
+		for i, w := range weights {
+			list[i].SetWeight(float64(w) / 10)
+			if i < len(used) && used[i] {
+				tried = append(tried, list[i])
+			} else if w > 0 {
+				usable++
+			}
+		}
+		p := pick.New("z1", testSeed)
+		p.Set(list)
+		for range 20 {
+			got := p.Pick(tried)
+			if (got == nil) != (usable == 0) {
+				return false
+			}
+			if got != nil && (got.Weight() == 0 || slices.Contains(tried, got)) {
+				return false
+			}
+		}
+		return true
+	}, gen.SliceOf(gen.IntRange(0, 10)), gen.SliceOf(gen.Bool())))
+	props.TestingRun(t)
+}
+
+// Guards against a server on trial that never gets a request on an idle VM, and
+// against one that gets a full share.
+func TestPickSharesByWeight(t *testing.T) {
+	list := targets(10, 1, 0)
+	list[0].SetWeight(0.1)
+	p := pick.New("z0", testSeed)
+	p.Set(list)
+	const picks = 20_000
+	got := 0
+	for range picks {
+		if p.Pick(nil) == list[0] {
+			got++
+		}
+	}
+	want := picks * 0.1 / 9.1
+	if math.Abs(float64(got)-want) > 0.5*want {
+		t.Fatalf("picked %d times, want about %.0f", got, want)
+	}
+}
+
+// Guards against piling work on a server that does not answer.
+func TestPickAvoidsLoaded(t *testing.T) {
+	list := targets(10, 1, 0)
+	for range 30 {
+		list[3].Begin()
+	}
+	p := pick.New("z0", testSeed)
+	p.Set(list)
+	for range 1000 {
+		if p.Pick(nil) == list[3] {
+			t.Fatal("picked the loaded server")
+		}
+	}
+}
+
+// Guards against needless hops between zones, and against a zone preference
+// that overloads the own zone or insists on a server of reduced weight.
+func TestPickZonePreference(t *testing.T) {
+	cases := []struct {
+		name     string
+		change   func(own *pick.Target)
+		min, max float64
+	}{
+		{"idle", func(*pick.Target) {}, 1, 1},
+		{"loaded", func(own *pick.Target) { own.Begin(); own.Begin() }, 0, 0.15},
+		{"reduced", func(own *pick.Target) { own.SetWeight(0.1) }, 0, 0.15},
+		{"ejected", func(own *pick.Target) { own.SetWeight(0) }, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			list := targets(12, 4, 0)
+			for _, target := range list {
+				if target.Zone() == "z2" {
+					c.change(target)
+				}
+			}
+			p := pick.New("z2", testSeed)
+			p.Set(list)
+			const picks = 5000
+			own := 0
+			for range picks {
+				if p.Pick(nil).Zone() == "z2" {
+					own++
+				}
+			}
+			if share := float64(own) / picks; share < c.min || share > c.max {
+				t.Fatalf("own zone got %.2f, want %.2f to %.2f", share, c.min, c.max)
+			}
+		})
+	}
+}
+
+// Guards against a source of randomness that goroutines corrupt; run with -race.
+func TestPickFromManyGoroutines(t *testing.T) {
+	list := targets(20, 4, 0)
+	p := pick.New("z0", testSeed)
+	p.Set(list)
+	var group sync.WaitGroup
+	for g := range 8 {
+		group.Go(func() {
+			for i := range 2000 {
+				target := p.Pick(nil)
+				target.Begin()
+				if g == 0 && i%100 == 0 {
+					p.Set(list[:10+i/200])
+				}
+				target.End()
+			}
+		})
+	}
+	group.Wait()
+	for _, target := range list {
+		if target.Inflight() != 0 {
+			t.Fatalf("%s has %d in flight after all ended", target.Addr(), target.Inflight())
+		}
+	}
+}
+
+// Guards against choices that differ between two replays of one trace.
+func TestPickRepeatsBySeed(t *testing.T) {
+	list := targets(20, 4, 0)
+	a, b := pick.New("z0", testSeed), pick.New("z0", testSeed)
+	a.Set(list)
+	b.Set(list)
+	for i := range 1000 {
+		if a.Pick(nil) != b.Pick(nil) {
+			t.Fatalf("choice %d differs", i)
+		}
+	}
+}
+
+// Guards against a subset that is below the floor, repeats a server or leaves
+// out a zone, and against one that changes much when one server goes.
+func TestSubset(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(testSeed)
+	props := gopter.NewProperties(params)
+	props.Property("size, zones, movement", prop.ForAll(func(n, zones, size, floor, vm int) bool {
+		list := targets(n, zones, 0)
+		id := fmt.Sprintf("vm-%d", vm)
+		got := pick.Subset(id, list, size, floor)
+		want := min(n, max(8, size, floor))
+		if len(slices.Compact(slices.Clone(got))) != len(got) || len(got) < want || len(got) > want+1 {
+			return false
+		}
+		perZone := map[string]int{}
+		for _, target := range got {
+			perZone[target.Zone()]++
+		}
+		if len(perZone) < min(zones, n) && want >= 2*zones {
+			return false
+		}
+		gone := vm % n
+		rest := slices.Delete(slices.Clone(list), gone, gone+1)
+		return moved(got, pick.Subset(id, rest, size, floor)) <= 2
+	}, gen.IntRange(1, 200), gen.IntRange(1, 6), gen.IntRange(0, 20), gen.IntRange(0, 15), gen.IntRange(0, 5000)))
+	props.TestingRun(t)
+}
+
+// moved returns how many of after are not in before.
+func moved(before, after []*pick.Target) int {
+	n := 0
+	for _, target := range after {
+		if !slices.Contains(before, target) {
+			n++
+		}
+	}
+	return n
+}
+
+func ExamplePicker() {
+	near := pick.NewTarget("10.0.0.1:80", "z1", 3)
+	far := pick.NewTarget("10.0.0.2:80", "z2", 3)
+	p := pick.New("z1", 1)
+	p.Set([]*pick.Target{near, far})
+
+	first := p.Pick(nil)
+	first.Begin()
+	defer first.End()
+	fmt.Println(first.Addr())
+	fmt.Println(p.Pick([]*pick.Target{first}).Addr())
+	// Output:
+	// 10.0.0.1:80
+	// 10.0.0.2:80
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{8, 20} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			p := pick.New("z0", testSeed)
+			p.Set(targets(n, 4, 0))
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					target := p.Pick(nil)
+					target.Begin()
+					target.End()
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkSubset reports how many VMs share each backend server, and how many
+// members of a subset change when one server of its service goes.
+func BenchmarkSubset(b *testing.B) {
+	cases := []struct{ vms, servers, services, zones, floor int }{
+		{18, 20, 1, 4, 8},
+		{18, 20, 1, 4, 12},
+		{1300, 14_000, 460, 6, 8},
+	}
+	for _, c := range cases {
+		b.Run(fmt.Sprintf("vms=%d/servers=%d/floor=%d", c.vms, c.servers, c.floor), func(b *testing.B) {
+			for b.Loop() {
+				shares := map[string]int{}
+				changes, pairs, first := 0, 0, 0
+				for s := range c.services {
+					last := c.servers * (s + 1) / c.services
+					list := targets(last-first, c.zones, first)
+					first = last
+					for v := range c.vms {
+						id := fmt.Sprintf("vm-%d", v)
+						got := pick.Subset(id, list, 0, c.floor)
+						for _, target := range got {
+							shares[target.Addr()]++
+						}
+						changes += moved(got, pick.Subset(id, list[1:], 0, c.floor))
+						pairs++
+					}
+				}
+				report(b, shares, c.servers)
+				b.ReportMetric(float64(changes)/float64(pairs), "moved/vm")
+			}
+		})
+	}
+}
+
+func report(b *testing.B, shares map[string]int, servers int) {
+	counts := make([]int, servers)
+	i := 0
+	for _, n := range shares {
+		counts[i] = n
+		i++
+	}
+	slices.Sort(counts)
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	b.ReportMetric(float64(counts[0]), "min-vms")
+	b.ReportMetric(float64(counts[servers/2]), "median-vms")
+	b.ReportMetric(float64(counts[servers-1]), "max-vms")
+	b.ReportMetric(float64(sum)/float64(servers), "mean-vms")
+}
