--- /dev/null
+++ b/objapi/objapi_test.go
@@ -0,0 +1,256 @@
+package objapi_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/objapi"
+	"github.com/azuredeal/azuredeal/store"
+)
+
+func start(t *testing.T, opts ...store.Option) (*objapi.Server, *store.Client, string) {
+	t.Helper()
+	api := objapi.New(store.NewMemory())
+	server := httptest.NewServer(api)
+	t.Cleanup(server.Close)
+	return api, store.NewHTTP(server.URL, server.Client(), opts...), server.URL
+}
+
+// Guards against a condition that is not checked, or a version that is not
+// carried back.
+func TestConditionsAndVersions(t *testing.T) {
+	_, c, _ := start(t)
+	ctx := t.Context()
+	if o, err := c.Get(ctx, "a/b"); err != nil || o.Version != 0 {
+		t.Fatalf("object that does not exist: %+v, %v", o, err)
+	}
+	v1, err := c.Put(ctx, "a/b", []byte("one"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Put(ctx, "a/b", []byte("two"), 0); fault.Of(err) != fault.Conflict {
+		t.Fatalf("second create: %v", err)
+	}
+	if _, err := c.Put(ctx, "a/b", []byte("two"), v1+7); fault.Of(err) != fault.Conflict {
+		t.Fatalf("wrong version: %v", err)
+	}
+	v2, err := c.Put(ctx, "a/b", []byte("two"), v1)
+	if err != nil || v2 <= v1 {
+		t.Fatalf("update: %d after %d, %v", v2, v1, err)
+	}
+	list, err := c.List(ctx, "a/")
+	if err != nil || len(list) != 1 || list[0] != (store.Entry{Name: "a/b", Version: v2}) {
+		t.Fatalf("list: %v, %v", list, err)
+	}
+	if err := c.Delete(ctx, "a/b", v1); fault.Of(err) != fault.Conflict {
+		t.Fatalf("delete at an old version: %v", err)
+	}
+	if err := c.Delete(ctx, "a/b", v2); err != nil {
+		t.Fatal(err)
+	}
+	if o, err := c.Get(ctx, "a/b"); err != nil || o.Version != 0 {
+		t.Fatalf("after delete: %+v, %v", o, err)
+	}
+}
+
+// Guards against values above the platform's bound, on both sides, and against
+// names that reach another object.
+func TestBounds(t *testing.T) {
+	_, c, base := start(t)
+	big := make([]byte, store.MaxValue+1)
+	if _, err := c.Put(t.Context(), "big", big, 0); fault.Of(err) != fault.Invalid {
+		t.Errorf("client let a value of %d bytes pass: %v", len(big), err)
+	}
+	req, _ := http.NewRequest(http.MethodPut, base+"/v1/objects/big", strings.NewReader(string(big)))
+	req.Header.Set("If-None-Match", "*")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("server answered %v, %v", resp, err)
+	}
+	for _, name := range []string{"", "a//b", "../a", "a/."} {
+		if _, err := c.Get(t.Context(), name); fault.Of(err) != fault.Invalid {
+			t.Errorf("name %q: %v", name, err)
+		}
+	}
+	odd := "a b/%2F?x=1#y"
+	if _, err := c.Put(t.Context(), odd, []byte("v"), 0); err != nil {
+		t.Fatal(err)
+	}
+	if list, _ := c.List(t.Context(), ""); len(list) != 1 || list[0].Name != odd {
+		t.Errorf("odd name was stored as %v", list)
+	}
+}
+
+// Guards against a lost answer that looks like a refusal: the write took effect,
+// so the writer has to read back.
+func TestLostAnswer(t *testing.T) {
+	api, c, _ := start(t)
+	api.SetFaults(objapi.Faults{Lost: 2, Seed: 5})
+	lost := 0
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		_, err := c.Put(t.Context(), name, []byte(name), 0)
+		if err != nil {
+			if fault.Of(err) != fault.PlatformDown {
+				t.Fatalf("kind of a lost answer: %v", err)
+			}
+			lost++
+		}
+		if o, _ := c.Get(t.Context(), name); string(o.Value) != name {
+			t.Fatalf("write of %s did not take effect", name)
+		}
+	}
+	if lost != 3 {
+		t.Errorf("%d of 6 answers were lost, want every second", lost)
+	}
+}
+
+// Guards against an outage that shows up as anything but PlatformDown.
+func TestOutage(t *testing.T) {
+	api, c, base := start(t, store.WithTimeout(50*time.Millisecond))
+	for _, kind := range []string{objapi.OutageDrop, objapi.OutageRefuse, objapi.OutageHang} {
+		api.SetFaults(objapi.Faults{Outage: kind})
+		if _, err := c.Get(t.Context(), "a"); fault.Of(err) != fault.PlatformDown {
+			t.Errorf("%s: get: %v", kind, err)
+		}
+		if _, err := c.Put(t.Context(), "a", nil, 0); fault.Of(err) != fault.PlatformDown {
+			t.Errorf("%s: put: %v", kind, err)
+		}
+		if _, err := c.List(t.Context(), ""); fault.Of(err) != fault.PlatformDown {
+			t.Errorf("%s: list: %v", kind, err)
+		}
+		if _, err := c.VMs(t.Context()); fault.Of(err) != fault.PlatformDown {
+			t.Errorf("%s: vms: %v", kind, err)
+		}
+	}
+	api.SetFaults(objapi.Faults{})
+	patient := store.NewHTTP(base, nil)
+	if o, err := patient.Get(t.Context(), "a"); err != nil || o.Version != 0 {
+		t.Errorf("a write in an outage took effect: %+v, %v", o, err)
+	}
+}
+
+// Guards against a watch that misses a change, never ends, or outlives an outage.
+func TestWatch(t *testing.T) {
+	api, c, _ := start(t, store.WithWait(30*time.Second))
+	v1, _ := c.Put(t.Context(), "a", []byte("one"), 0)
+	if o, err := c.Watch(t.Context(), "a", 0); err != nil || o.Version != v1 {
+		t.Fatalf("watch of an older version: %+v, %v", o, err)
+	}
+	got := make(chan store.Object, 1)
+	go func() {
+		o, _ := c.Watch(t.Context(), "a", v1)
+		got <- o
+	}()
+	v2, _ := c.Put(t.Context(), "a", []byte("two"), v1)
+	if o := <-got; o.Version != v2 || string(o.Value) != "two" {
+		t.Fatalf("watch returned %+v", o)
+	}
+	short := store.NewHTTP(baseOf(t, api), nil, store.WithWait(10*time.Millisecond))
+	if o, err := short.Watch(t.Context(), "a", v2); err != nil || o.Version != v2 {
+		t.Fatalf("watch without a change: %+v, %v", o, err)
+	}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := c.Watch(t.Context(), "a", v2)
+		failed <- err
+	}()
+	api.SetFaults(objapi.Faults{Outage: objapi.OutageDrop})
+	if err := <-failed; fault.Of(err) != fault.PlatformDown {
+		t.Fatalf("watch in an outage: %v", err)
+	}
+}
+
+func baseOf(t *testing.T, api *objapi.Server) string {
+	t.Helper()
+	server := httptest.NewServer(api)
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// Guards against a control endpoint that an outage takes away, or that accepts
+// faults it does not know.
+func TestControl(t *testing.T) {
+	api, c, base := start(t)
+	put := func(path, body string) int {
+		req, _ := http.NewRequest(http.MethodPut, base+path, strings.NewReader(body))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode
+	}
+	if got := put("/control/faults", `{"outage":"drop","latency":1,"lost":3,"seed":9}`); got != http.StatusNoContent {
+		t.Fatalf("status %d", got)
+	}
+	if want := (objapi.Faults{Outage: objapi.OutageDrop, Latency: 1, Lost: 3, Seed: 9}); api.Faults() != want {
+		t.Fatalf("faults %+v", api.Faults())
+	}
+	for _, body := range []string{`{"outage":"maybe"}`, `{"typo":1}`} {
+		if got := put("/control/faults", body); got != http.StatusBadRequest {
+			t.Errorf("%s: status %d", body, got)
+		}
+	}
+	if got := put("/control/faults", `{}`); got != http.StatusNoContent {
+		t.Fatalf("control did not answer in an outage: %d", got)
+	}
+	put("/control/vms", `[{"id":"vm1","zone":"a","peer":"127.0.0.1:1","entry":"127.0.0.1:2","leaving":true}]`)
+	vms, err := c.VMs(t.Context())
+	if err != nil || len(vms) != 1 || vms[0].Zone != "a" || !vms[0].Leaving {
+		t.Fatalf("VMs: %+v, %v", vms, err)
+	}
+}
+
+// Guards against watches that do not count against the platform's read rate.
+func TestRates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := objapi.New(store.NewMemory())
+		call := func(method, path string) {
+			r := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader("x"))
+			r.Header.Set("If-None-Match", "*")
+			api.ServeHTTP(httptest.NewRecorder(), r)
+		}
+		call(http.MethodPut, "/v1/objects/a")
+		call(http.MethodGet, "/v1/objects/a")
+		for range 2 {
+			go call(http.MethodGet, "/v1/objects/a?watch=1&wait=2500ms")
+		}
+		time.Sleep(5 * time.Second)
+		want := [][2]int{{3, 1}, {2, 0}, {2, 0}, {0, 0}, {0, 0}, {0, 0}}
+		got := api.Rates()
+		for i, w := range want {
+			if got[i].Reads != w[0] || got[i].Writes != w[1] {
+				t.Errorf("second %d: %+v, want %v", i, got[i], w)
+			}
+		}
+		time.Sleep(time.Hour)
+		if n := len(api.Rates()); n != 600 {
+			t.Errorf("%d seconds are kept", n)
+		}
+	})
+}
+
+// Guards against added latency that is not applied, or that outlives the call.
+func TestLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := objapi.New(store.NewMemory())
+		api.SetFaults(objapi.Faults{Latency: 700})
+		begin := time.Now()
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/vms", nil)
+		api.ServeHTTP(httptest.NewRecorder(), r)
+		if took := time.Since(begin); took != 700*time.Millisecond {
+			t.Errorf("call took %v", took)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		api.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodGet, "/v1/vms", nil))
+		if took := time.Since(begin); took != 800*time.Millisecond {
+			t.Errorf("canceled call ended after %v", took)
+		}
+	})
+}
