--- /dev/null
+++ b/entry/monitor.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/samber/lo"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/health"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+// watched is one service under observation.
+type watched struct {
+	group   *health.Group
+	service note.Service
+	states  map[string]health.State
+}
+
+// monitor is the controller that feeds the health groups and publishes their
+// decisions. Only the control goroutine uses it.
+type monitor struct {
+	log     zerolog.Logger
+	origin  uint64 // Incarnation of this VM.
+	flights func() []board.Flight
+	apply   func(service string, weights map[string]float64)
+	order   []string
+	watched map[string]*watched
+}
+
+func newMonitor(log zerolog.Logger, origin uint64) *monitor {
+	return &monitor{log: log, origin: origin, watched: map[string]*watched{}}
+}
+
+func (m *monitor) controller() board.Controller {
+	return board.Controller{Name: "health", Sample: m.sample, Step: m.step}
+}
+
+// setRelease follows a release; services that stay keep their evidence.
+func (m *monitor) setRelease(now time.Time, rel *note.Release) {
+	next := map[string]*watched{}
+	m.order = m.order[:0]
+	for _, s := range rel.Services() {
+		w := m.watched[s.Name]
+		if w == nil {
+			w = &watched{group: health.New(s.Name, health.NewPolicy(s.Detection)), states: map[string]health.State{}}
+			w.group.SetOrigin(m.origin)
+		}
+		w.service = s
+		w.group.SetPolicy(health.NewPolicy(s.Detection))
+		w.group.Set(now, lo.Map(s.Servers, func(b note.Server, _ int) health.Server {
+			return health.NewServer(b.Addr, b.Zone, b.Leaving)
+		}), s.Floor)
+		next[s.Name] = w
+		m.order = append(m.order, s.Name)
+	}
+	m.watched = next
+	m.step(now)
+}
+
+func (m *monitor) sample(now time.Time, s board.Sample) {
+	if w := m.watched[s.Service]; w != nil {
+		w.group.Observe(now, s)
+	}
+}
+
+func (m *monitor) probe(now time.Time, service, server string, ok bool, took time.Duration) {
+	if w := m.watched[service]; w != nil {
+		w.group.Probe(now, server, ok, took)
+	}
+}
+
+func (m *monitor) step(now time.Time) {
+	flights := lo.GroupBy(m.flights(), func(f board.Flight) string { return f.Service })
+	for _, name := range m.order {
+		w := m.watched[name]
+		w.group.Flights(now, flights[name])
+		weights := map[string]float64{}
+		for _, d := range w.group.Decide(now) {
+			weights[d.Server()] = d.Weight()
+			m.record(w, d)
+		}
+		m.apply(name, weights)
+	}
+}
+
+// record logs and counts a change of state; a decision that stays is silent.
+func (m *monitor) record(w *watched, d health.Decision) {
+	before, known := w.states[d.Server()]
+	w.states[d.Server()] = d.State()
+	if before == d.State() || (!known && d.State() == health.Healthy) {
+		return
+	}
+	metrics.GetOrCreateCounter(`azuredeal_decisions_total{service="` + w.service.Name + `",state="` + d.State().String() + `"}`).Inc()
+	m.log.Info().Str("service", w.service.Name).Str("server", d.Server()).
+		Stringer("before", before).Stringer("state", d.State()).
+		Float64("weight", d.Weight()).Str("reason", d.Reason()).Msg("backend server changed state")
+}
+
+func (m *monitor) reports(now time.Time) []*wire.Report {
+	var out []*wire.Report
+	for _, name := range m.order {
+		for _, r := range m.watched[name].group.Reports(now) {
+			out = append(out, r.Wire(name))
+		}
+	}
+	return out
+}
+
+func (m *monitor) merge(now time.Time, from string, reports []*wire.Report) {
+	byService := lo.GroupBy(reports, func(r *wire.Report) string { return r.GetService() })
+	for name, list := range byService {
+		if w := m.watched[name]; w != nil {
+			w.group.Merge(now, from, lo.Map(list, func(r *wire.Report, _ int) health.Report { return health.FromWire(r) }))
+		}
+	}
+}
+
+// serverDump is one backend server in the state dump.
+type serverDump struct {
+	Server string  `json:"server"`
+	State  string  `json:"state"`
+	Weight float64 `json:"weight"`
+	Reason string  `json:"reason,omitempty"`
+}
+
+func (m *monitor) dump(now time.Time) map[string][]serverDump {
+	out := map[string][]serverDump{}
+	for _, name := range m.order {
+		out[name] = lo.Map(m.watched[name].group.Decide(now), func(d health.Decision, _ int) serverDump {
+			return serverDump{Server: d.Server(), State: d.State().String(), Weight: d.Weight(), Reason: d.Reason()}
+		})
+	}
+	return out
+}
