--- /dev/null
+++ b/replay/policy.go
@@ -0,0 +1,208 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/health"
+)
+
+// Names of the policies.
+const (
+	PolicyAzuredeal = "azuredeal" // The health package.
+	PolicyRobin     = "robin"     // Round robin without detection.
+	PolicyFive      = "five"      // Ejection after five errors in a row.
+	PolicyLeast     = "least"     // Least outstanding with a fixed timeout.
+)
+
+// PolicyNames returns all policies; the first is not a baseline.
+func PolicyNames() []string {
+	return []string{PolicyAzuredeal, PolicyRobin, PolicyFive, PolicyLeast}
+}
+
+// view is what a policy has decided about one server.
+type view struct {
+	state  health.State
+	weight float64
+}
+
+// control is one VM's policy for one service. Fields that a policy does not
+// need are nil.
+type control struct {
+	views    []view
+	inflight []int
+	pick     func(tried []int) int // -1 when there is no choice.
+	observe  func(now time.Time, server int, s board.Sample)
+	tick     func(now time.Time, flights []board.Flight)
+	probe    func(now time.Time, server int, ok bool)
+	merge    func(now time.Time, from string, reports []health.Report)
+	reports  func(now time.Time) []health.Report
+	hedge    func() time.Duration // 0: no hedge.
+	timeout  time.Duration        // Of one attempt; 0: the deadline only.
+}
+
+func newControl(policy string, svc *service, origin uint64, now time.Time, random *rand.Rand) *control {
+	c := &control{
+		views:    make([]view, len(svc.servers)),
+		inflight: make([]int, len(svc.servers)),
+	}
+	for i := range c.views {
+		c.views[i].weight = 1
+	}
+	switch policy {
+	case PolicyRobin:
+		c.pick = c.robin(random.IntN(len(c.views)))
+	case PolicyFive:
+		c.pick = func(tried []int) int { return c.twoChoices(random, tried) }
+		c.five()
+	case PolicyLeast:
+		c.pick = func(tried []int) int { return c.least(random, tried) }
+		c.timeout = svc.Deadline.Std() / 2
+	default:
+		c.pick = func(tried []int) int { return c.twoChoices(random, tried) }
+		c.real(svc, origin, now)
+	}
+	return c
+}
+
+// real connects the control with a health group.
+func (c *control) real(svc *service, origin uint64, now time.Time) {
+	g := health.New(svc.Name, health.NewPolicy(svc.Detection))
+	g.SetOrigin(origin)
+	servers := make([]health.Server, 0, len(svc.servers))
+	for _, v := range svc.servers {
+		servers = append(servers, health.NewServer(v.addr, zoneName(v.zone), false))
+	}
+	g.Set(now, servers, svc.Floor)
+	c.observe = func(now time.Time, _ int, s board.Sample) { g.Observe(now, s) }
+	c.tick = func(now time.Time, flights []board.Flight) {
+		g.Flights(now, flights)
+		for i, d := range g.Decide(now) {
+			c.views[i] = view{d.State(), d.Weight()}
+		}
+	}
+	c.probe = func(now time.Time, server int, ok bool) {
+		g.Probe(now, svc.servers[server].addr, ok, probeTime)
+	}
+	c.merge, c.reports, c.hedge = g.Merge, g.Reports, g.Slow
+}
+
+const (
+	probeTime   = 25 * time.Millisecond
+	errorsInRow = 5
+	ejectFor    = 30 * time.Second
+	ejectShare  = 0.5 // Servers that the baseline ejects at most.
+)
+
+// five ejects a server after five errors in a row, each time for longer.
+func (c *control) five() {
+	n := len(c.views)
+	row, times := make([]int, n), make([]int, n)
+	until := make([]time.Time, n)
+	ejected := 0
+	c.observe = func(now time.Time, i int, s board.Sample) {
+		switch s.Outcome {
+		case board.Success:
+			row[i] = 0
+		case board.Failure, board.Late, board.Reset, board.Truncated, board.Mismatch, board.Unreachable:
+			row[i]++
+		default:
+		}
+		if row[i] < errorsInRow || c.views[i].weight == 0 || float64(ejected+1) > ejectShare*float64(n) {
+			return
+		}
+		row[i] = 0
+		times[i]++
+		ejected++
+		until[i] = now.Add(time.Duration(times[i]) * ejectFor)
+		c.views[i] = view{health.Ejected, 0}
+	}
+	c.tick = func(now time.Time, _ []board.Flight) {
+		for i := range c.views {
+			if c.views[i].weight == 0 && !now.Before(until[i]) {
+				c.views[i] = view{health.Healthy, 1}
+				ejected--
+			}
+		}
+	}
+}
+
+func (c *control) robin(next int) func([]int) int {
+	return func(tried []int) int {
+		for range c.views {
+			next = (next + 1) % len(c.views)
+			if !contains(tried, next) {
+				return next
+			}
+		}
+		return -1
+	}
+}
+
+// least takes the server with the fewest requests in flight; among equals, a
+// random one.
+func (c *control) least(random *rand.Rand, tried []int) int {
+	best, equal := -1, 0
+	for i, n := range c.inflight {
+		if contains(tried, i) {
+			continue
+		}
+		switch {
+		case best < 0 || n < c.inflight[best]:
+			best, equal = i, 1
+		case n == c.inflight[best]:
+			equal++
+			if random.IntN(equal) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// twoChoices draws two servers by weight and takes the one with fewer requests
+// in flight over weight.
+func (c *control) twoChoices(random *rand.Rand, tried []int) int {
+	a := c.byWeight(random, tried, -1)
+	b := c.byWeight(random, tried, a)
+	if a < 0 || b < 0 {
+		return max(a, b)
+	}
+	if c.inflight[b] < c.inflight[a] {
+		return b
+	}
+	return a
+}
+
+func (c *control) byWeight(random *rand.Rand, tried []int, not int) int {
+	total := 0.0
+	for i := range c.views {
+		if i != not && !contains(tried, i) {
+			total += c.views[i].weight
+		}
+	}
+	if total == 0 {
+		return -1
+	}
+	left, last := random.Float64()*total, -1
+	for i := range c.views {
+		if i == not || contains(tried, i) || c.views[i].weight == 0 {
+			continue
+		}
+		last = i
+		if left -= c.views[i].weight; left < 0 {
+			return i
+		}
+	}
+	return last
+}
+
+func contains(list []int, x int) bool {
+	for _, v := range list {
+		if v == x {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/replay/trace.go
@@ -0,0 +1,240 @@
+// Package replay runs the real decision code against recorded traces in virtual
+// time and compares it with simpler policies. A trace states the services, the
+// latency model, the faults and the expected outcomes.
+package replay
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"io/fs"
+	"path"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuredeal/azuredeal/note"
+)
+
+//go:embed testdata/traces/*.json
+var committed embed.FS
+
+// Trace is one recorded situation.
+type Trace struct {
+	Name     string        `json:"name"`
+	Site     string        `json:"site"`
+	Span     note.Duration `json:"span"`  // Virtual time of a full run.
+	Short    note.Duration `json:"short"` // Virtual time of a short run.
+	Warm     note.Duration `json:"warm"`  // Leading time that results leave out.
+	Vms      int           `json:"vms"`
+	Links    int           `json:"links"` // Peers of each VM.
+	Zones    int           `json:"zones"`
+	Delay    note.Duration `json:"delay"` // One way between zones.
+	Beat     note.Duration `json:"beat"`  // Period of heartbeats.
+	Services []Service     `json:"services"`
+	Faults   []Fault       `json:"faults"`
+	Gray     bool          `json:"gray"` // The trace has gray failures.
+	Tuning   []uint64      `json:"tuning"`
+	Held     []uint64      `json:"held"` // Seeds kept out of tuning.
+	Expect   []Expect      `json:"expect"`
+}
+
+// Service is one group of backend servers and its load.
+type Service struct {
+	Name      string         `json:"name"`
+	Servers   int            `json:"servers"`
+	Slots     int            `json:"slots"`
+	Queue     int            `json:"queue"` // Requests that wait in a server.
+	Floor     int            `json:"floor"`
+	Rate      float64        `json:"rate"`   // Requests a second per server.
+	Once      float64        `json:"once"`   // Share of non-idempotent requests.
+	Errors    float64        `json:"errors"` // Share of failures without a fault.
+	Deadline  note.Duration  `json:"deadline"`
+	Retry     float64        `json:"retry"` // Retries and hedges as a share of requests.
+	Detection note.Detection `json:"detection"`
+	Model     Model          `json:"model"`
+}
+
+// Kinds of Fault.
+const (
+	KindStall     = "stall"     // Work stops; probes pass.
+	KindSlow      = "slow"      // Work takes factor times as long.
+	KindFlap      = "flap"      // Fails fast in the first half of each period.
+	KindWrong     = "wrong"     // A share of answers belongs to other requests.
+	KindZone      = "zone"      // All servers of a zone are slow.
+	KindAll       = "all"       // All servers of the service are slow.
+	KindPartition = "partition" // Answers of a zone do not reach one VM.
+	KindDeploy    = "deploy"    // Drains, is down, is cold, then slow.
+	KindLoad      = "load"      // Requests arrive factor times as often.
+	KindLose      = "lose"      // The first vms VMs end.
+)
+
+// Fault is one fault, or a series of them on successive servers.
+type Fault struct {
+	Kind    string        `json:"kind"`
+	Service string        `json:"service,omitempty"`
+	Server  int           `json:"server,omitempty"` // First server, by position.
+	Zone    int           `json:"zone,omitempty"`
+	Vm      int           `json:"vm,omitempty"`  //nolint:revive // The JSON field gives the name.
+	Vms     int           `json:"vms,omitempty"` // VMs that are lost.
+	At      note.Duration `json:"at"`
+	Span    note.Duration `json:"span"`
+	Every   note.Duration `json:"every,omitempty"`  // Distance of the repeats.
+	Repeat  int           `json:"repeat,omitempty"` // Repeats, each on the next server or zone.
+	Step    int           `json:"step,omitempty"`   // Distance of the servers; 0 is 1.
+	Factor  float64       `json:"factor,omitempty"`
+	Share   float64       `json:"share,omitempty"`
+	Period  note.Duration `json:"period,omitempty"`
+	Drain   note.Duration `json:"drain,omitempty"`
+	Down    note.Duration `json:"down,omitempty"`
+	Cold    note.Duration `json:"cold,omitempty"`
+}
+
+// Expect is a stated outcome: the metric of the policy lies within the bounds.
+type Expect struct {
+	Policy string   `json:"policy"`
+	Metric string   `json:"metric"`
+	Least  *float64 `json:"least,omitempty"`
+	Most   *float64 `json:"most,omitempty"`
+}
+
+// Load reads and validates a trace. The error lists every problem.
+func Load(r io.Reader) (*Trace, error) {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "read trace")
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	var t Trace
+	if err := dec.Decode(&t); err != nil {
+		return nil, errors.Wrap(err, "parse trace")
+	}
+	if problems := t.Validate(); len(problems) > 0 {
+		return nil, errors.Newf("trace %q: %v", t.Name, problems)
+	}
+	return &t, nil
+}
+
+// Committed returns the traces that are part of the program, sorted by site and
+// name.
+func Committed() ([]*Trace, error) {
+	names, err := fs.Glob(committed, "testdata/traces/*.json")
+	if err != nil {
+		return nil, errors.Wrap(err, "list traces")
+	}
+	slices.Sort(names)
+	out := make([]*Trace, 0, len(names))
+	for _, name := range names {
+		f, err := committed.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open trace")
+		}
+		t, err := Load(f)
+		_ = f.Close() // Embedded files hold no resources.
+		if err != nil {
+			return nil, errors.Wrapf(err, "file %s", path.Base(name))
+		}
+		out = append(out, t)
+	}
+	return out, nil
+}
+
+type problems []string
+
+func (p *problems) check(ok bool, format string, args ...any) {
+	if !ok {
+		*p = append(*p, fmt.Sprintf(format, args...))
+	}
+}
+
+// Validate returns every problem of the trace, each with the path to its field.
+func (t *Trace) Validate() []string {
+	var p problems
+	p.check(t.Name != "", "name: empty")
+	p.check(t.Site != "", "site: empty")
+	p.check(t.Span > 0, "span: must be positive")
+	p.check(t.Short > 0 && t.Short <= t.Span, "short: must be positive and at most span")
+	p.check(t.Warm >= 0 && t.Warm < t.Short, "warm: must be shorter than short")
+	p.check(t.Vms > 0 && t.Vms <= maxVms, "vms: must be 1 to %d", maxVms)
+	p.check(t.Links >= 0, "links: negative")
+	p.check(t.Zones > 0, "zones: must be positive")
+	p.check(t.Delay >= 0, "delay: negative")
+	p.check(t.Beat > 0, "beat: must be positive")
+	p.check(len(t.Services) > 0, "services: none")
+	p.check(len(t.Tuning) > 0, "tuning: no seeds")
+	for _, seed := range t.Held {
+		p.check(!slices.Contains(t.Tuning, seed), "held: seed %d is used for tuning", seed)
+	}
+	for i, s := range t.Services {
+		s.validate(&p, fmt.Sprintf("services[%d]", i))
+	}
+	for i := range t.Faults {
+		t.Faults[i].validate(&p, fmt.Sprintf("faults[%d]", i), t)
+	}
+	for i, e := range t.Expect {
+		at := fmt.Sprintf("expect[%d]", i)
+		p.check(slices.Contains(PolicyNames(), e.Policy), "%s.policy: unknown %q", at, e.Policy)
+		p.check(slices.Contains(metricNames(), e.Metric), "%s.metric: unknown %q", at, e.Metric)
+		p.check(e.Least != nil || e.Most != nil, "%s: no bound", at)
+	}
+	return p
+}
+
+const (
+	maxVms     = 64
+	maxServers = 1000
+)
+
+func (s *Service) validate(p *problems, at string) {
+	p.check(s.Name != "", "%s.name: empty", at)
+	p.check(s.Servers > 0 && s.Servers <= maxServers, "%s.servers: must be 1 to %d", at, maxServers)
+	p.check(s.Slots > 0, "%s.slots: must be positive", at)
+	p.check(s.Queue >= 0, "%s.queue: negative", at)
+	p.check(s.Floor >= 0 && s.Floor <= s.Servers, "%s.floor: must be 0 to servers", at)
+	p.check(s.Rate > 0, "%s.rate: must be positive", at)
+	p.check(share(s.Once), "%s.once: must be 0 to 1", at)
+	p.check(share(s.Errors), "%s.errors: must be 0 to 1", at)
+	p.check(share(s.Retry), "%s.retry: must be 0 to 1", at)
+	p.check(s.Deadline > 0, "%s.deadline: must be positive", at)
+	p.check(s.Model.Median > 0, "%s.model.median: must be positive", at)
+	p.check(s.Model.Sigma >= 0, "%s.model.sigma: negative", at)
+	p.check(share(s.Model.Tail), "%s.model.tail: must be 0 to 1", at)
+	p.check(s.Model.Tail == 0 || (s.Model.Alpha > 0 && s.Model.Scale > 0 && s.Model.Most >= s.Model.Scale),
+		"%s.model: a tail needs alpha, scale and most", at)
+}
+
+func (f *Fault) validate(p *problems, at string, t *Trace) {
+	p.check(f.At >= t.Warm, "%s.at: before the end of warm", at)
+	p.check(f.Kind == KindLose || f.Span > 0, "%s.span: must be positive", at)
+	p.check(f.Repeat >= 0 && (f.Repeat == 0 || f.Every > 0), "%s.every: must be positive with repeat", at)
+	switch f.Kind {
+	case KindLose:
+		p.check(f.Vms > 0 && f.Vms < t.Vms, "%s.vms: must leave a VM", at)
+		return
+	case KindPartition:
+		p.check(f.Vm >= 0 && f.Vm < t.Vms, "%s.vm: no such VM", at)
+	case KindSlow, KindZone, KindAll, KindLoad:
+		p.check(f.Factor > 0, "%s.factor: must be positive", at)
+	case KindFlap:
+		p.check(f.Period > 0, "%s.period: must be positive", at)
+	case KindWrong:
+		p.check(f.Share > 0 && f.Share <= 1, "%s.share: must be above 0 and at most 1", at)
+	case KindDeploy:
+		p.check(f.Drain.Std()+f.Down.Std()+f.Cold.Std() <= f.Span.Std(), "%s.span: too short", at)
+	case KindStall:
+	default:
+		p.check(false, "%s.kind: unknown %q", at, f.Kind)
+	}
+	p.check(f.Zone >= 0 && f.Zone < t.Zones, "%s.zone: no such zone", at)
+	i := slices.IndexFunc(t.Services, func(s Service) bool { return s.Name == f.Service })
+	p.check(i >= 0, "%s.service: unknown %q", at, f.Service)
+	p.check(i < 0 || f.Server >= 0 && f.Server < t.Services[i].Servers, "%s.server: no such server", at)
+}
+
+func share(v float64) bool { return v >= 0 && v <= 1 }
+
+func nanos(d note.Duration) int64 { return int64(d.Std() / time.Nanosecond) }
