--- a/admin/admin.go
+++ b/admin/admin.go
@@ -87,7 +87,7 @@
 	}, func(ctx context.Context, in *publishInput) (*publishOutput, error) {
 		generation, err := opts.Publish(ctx, in.RawBody)
 		if err != nil {
-			return nil, refusal(err)
+			return nil, Refusal(err)
 		}
 		out := &publishOutput{}
 		out.Body.Generation = generation
@@ -104,7 +104,7 @@
 	}, func(ctx context.Context, _ *struct{}) (*dumpOutput, error) {
 		state, err := opts.Dump(ctx)
 		if err != nil {
-			return nil, refusal(err)
+			return nil, Refusal(err)
 		}
 		return &dumpOutput{Body: state}, nil
 	})
@@ -115,7 +115,7 @@
 		Summary:     "Whether this VM can serve callers",
 	}, func(context.Context, *struct{}) (*stateOutput, error) {
 		if err := opts.Ready(); err != nil {
-			return nil, refusal(err)
+			return nil, Refusal(err)
 		}
 		return state("ready"), nil
 	})
@@ -149,9 +149,9 @@
 // GetStatus implements huma.StatusError.
 func (p *Problem) GetStatus() int { return p.Status }
 
-// refusal turns an error into the answer for an operator. Unlike callers,
+// Refusal turns an error into the answer for an operator. Unlike callers,
 // operators see the message of the cause.
-func refusal(err error) error {
+func Refusal(err error) error {
 	kind := fault.Of(err)
 	p := &Problem{Detail: err.Error()}
 	if errors.As(err, &p.Problems) {
--- /dev/null
+++ b/cmd/azuredeal/main.go
@@ -0,0 +1,49 @@
+// Command azuredeal runs an entry VM and the tools of its operators.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+)
+
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run an entry VM."`
+	Publish publishCommand `cmd:"" help:"Publish a release note."`
+	Check   checkCommand   `cmd:"" help:"Check a settings file or a release note without a fleet."`
+	Dump    dumpCommand    `cmd:"" help:"Print the state of a running process."`
+	Replay  replayCommand  `cmd:"" help:"Replay recorded traces against their stated outcomes."`
+	Demo    demoCommand    `cmd:"" help:"Run a small fleet in this process and show how it treats a gray failure."`
+}
+
+// Exit codes. An input that has problems gives exitInvalid, so that scripts can
+// tell it from a failure to run.
+const (
+	exitFailure = 1
+	exitInvalid = 2
+)
+
+// errInvalid marks an input with problems that were printed already.
+var errInvalid = errors.New("invalid input")
+
+func main() {
+	parsed := kong.Parse(new(commands), kong.Name("azuredeal"),
+		kong.Description("Proxy fleet for backend servers with gray failures."),
+		kong.UsageOnError())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err := parsed.Run()
+	switch {
+	case err == nil:
+	case errors.Is(err, errInvalid):
+		os.Exit(exitInvalid)
+	default:
+		parsed.Errorf("%v", err)
+		os.Exit(exitFailure)
+	}
+}
--- /dev/null
+++ b/cmd/azuredeal/operate.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuredeal/azuredeal/admin"
+	"github.com/azuredeal/azuredeal/conf"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/replay"
+)
+
+type operator struct {
+	To    []string `help:"Operators' addresses of entry VMs, ip:port, tried in order." default:"127.0.0.1:9001"`
+	Token string   `help:"Bearer token." env:"AZUREDEAL_TOKEN"`
+}
+
+func (o *operator) client() *admin.Client {
+	bases := make([]string, 0, len(o.To))
+	for _, addr := range o.To {
+		bases = append(bases, "http://"+addr)
+	}
+	return admin.NewClient(o.Token, bases...)
+}
+
+type publishCommand struct {
+	operator
+	File string `arg:"" help:"Release note, JSON." type:"existingfile"`
+}
+
+// Run publishes the note and prints the generation that holds it.
+func (c *publishCommand) Run(ctx context.Context) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	generation, err := c.client().Publish(ctx, data)
+	var refused *admin.Problem
+	if errors.As(err, &refused) {
+		fmt.Fprintf(os.Stderr, "refused (%s): %s\n", refused.Kind, refused.Detail)
+		for _, p := range refused.Problems {
+			fmt.Fprintln(os.Stderr, p)
+		}
+		return errInvalid
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("generation %d\n", generation)
+	return nil
+}
+
+type dumpCommand struct {
+	operator
+}
+
+// Run prints the state of the first VM that answers.
+func (c *dumpCommand) Run(ctx context.Context) error {
+	data, err := c.client().Dump(ctx)
+	if err != nil {
+		return err
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, data, "", "  "); err != nil {
+		return err
+	}
+	_, err = out.WriteTo(os.Stdout)
+	return err
+}
+
+type checkCommand struct {
+	Settings checkSettings `cmd:"" help:"Check the settings of an entry VM."`
+	Note     checkNote     `cmd:"" help:"Check the form of a release note and, against an empty release, its content."`
+}
+
+type checkSettings struct {
+	File string `arg:"" type:"existingfile"`
+}
+
+// Run prints every problem of the settings.
+func (c *checkSettings) Run() error {
+	_, err := conf.Load(c.File)
+	return report(err)
+}
+
+type checkNote struct {
+	File string `arg:"" type:"existingfile"`
+}
+
+// Run prints every problem of the note. Only a note with base 0 can be applied
+// offline; of any other, the form is checked.
+func (c *checkNote) Run() error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	n, err := note.Parse(data)
+	if err != nil || n.Base != 0 {
+		return report(err)
+	}
+	_, problems := note.Apply(note.NewRelease(0, nil, nil, nil), n)
+	return report(problems.Err())
+}
+
+func report(err error) error {
+	if err == nil {
+		fmt.Println("ok")
+		return nil
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return errInvalid
+}
+
+type replayCommand struct {
+	Trace   []string `help:"Trace files; all committed traces when none is given." type:"existingfile"`
+	Short   bool     `help:"First seed and short span only."`
+	Held    bool     `help:"Also run the seeds that were kept out of tuning."`
+	Workers int      `help:"Runs at a time." default:"4"`
+	Out     string   `help:"Directory for the table and the plots."`
+}
+
+// Run replays and prints the table. It fails when a stated outcome is missed.
+func (c *replayCommand) Run(ctx context.Context) error {
+	traces, err := c.traces()
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	sum, err := replay.Run(ctx, replay.Options{Traces: traces, Short: c.Short, Held: c.Held, Workers: c.Workers, Out: c.Out})
+	if err != nil {
+		return err
+	}
+	if err := sum.Table(os.Stdout); err != nil {
+		return err
+	}
+	fmt.Printf("replayed in %v\n", time.Since(start).Round(time.Millisecond))
+	for _, miss := range sum.Misses() {
+		fmt.Printf("missed: %v\n", miss)
+	}
+	if n := len(sum.Misses()); n > 0 {
+		return errors.Newf("%d stated outcomes were missed", n)
+	}
+	return nil
+}
+
+func (c *replayCommand) traces() ([]*replay.Trace, error) {
+	if len(c.Trace) == 0 {
+		return replay.Committed()
+	}
+	var out []*replay.Trace
+	for _, name := range c.Trace {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		t, err := replay.Load(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		out = append(out, t)
+	}
+	return out, nil
+}
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"regexp"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,3 +57,21 @@
 		}
 	})
 }
+
+// The page and the code must name the same fields.
+func TestSettingsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want, got []string
+	for _, f := range strict.Fields(Settings{}) {
+		want = append(want, f.Path())
+	}
+	for _, row := range regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(string(page), -1) {
+		got = append(got, row[1])
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("docs/SETTINGS.md lists\n%v\nthe code has\n%v", got, want)
+	}
+}
