--- /dev/null
+++ b/demo/trace.go
@@ -0,0 +1,104 @@
+package demo
+
+import (
+	_ "embed" // For the committed trace.
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/worker"
+)
+
+//go:embed trace.json
+var committed []byte
+
+// Trace is a recorded load with the faults that occur during it and the outcomes
+// that are stated for it.
+type Trace struct {
+	Name     string        `json:"name"`
+	Seed     uint64        `json:"seed"`
+	Span     note.Duration `json:"span"`
+	Zones    []string      `json:"zones"` // One entry VM in each.
+	Services []Service     `json:"services"`
+	Flows    []Flow        `json:"flows"`
+	Events   []Event       `json:"events"`
+	Expect   Expect        `json:"expect"`
+}
+
+// Service is a service with its workers.
+type Service struct {
+	Name     string        `json:"name"`
+	Workers  int           `json:"workers"`
+	Floor    int           `json:"floor"`
+	Deadline note.Duration `json:"deadline"`
+	Median   note.Duration `json:"median"` // Service time of the workers.
+	Profile  string        `json:"profile"`
+}
+
+// Flow is a stream of similar requests.
+type Flow struct {
+	Service string  `json:"service"`
+	Method  string  `json:"method"`
+	Path    string  `json:"path"` // Prefix; a number follows.
+	Rate    float64 `json:"rate"` // Requests a second.
+	// Repeat is the share of requests that the caller sends a second time with the
+	// same key, at another VM.
+	Repeat float64 `json:"repeat"`
+}
+
+// Event changes how a worker behaves.
+type Event struct {
+	At      note.Duration `json:"at"`
+	Service string        `json:"service"`
+	Worker  int           `json:"worker"`
+	Mode    worker.Mode   `json:"mode"`
+}
+
+// Expect states outcomes beside those that must always hold.
+type Expect struct {
+	Missed float64       `json:"missed"` // Share of requests without a whole response in time.
+	Detect note.Duration `json:"detect"` // From the first affected request to a smaller share.
+}
+
+// arrival is one request of the schedule.
+type arrival struct {
+	at     time.Duration
+	flow   Flow
+	number int
+	zone   int
+	repeat bool
+}
+
+func loadTrace(data []byte) (*Trace, error) {
+	t := &Trace{}
+	if err := json.Unmarshal(data, t); err != nil {
+		return nil, errors.Wrap(err, "trace")
+	}
+	return t, nil
+}
+
+// schedule returns the arrivals of the trace in order of time. The same trace
+// always gives the same schedule.
+func (t *Trace) schedule() []arrival {
+	random := rand.New(rand.NewPCG(t.Seed, 0))
+	var out []arrival
+	for _, f := range t.Flows {
+		mean := float64(time.Second) / f.Rate
+		for at := time.Duration(0); ; {
+			at += time.Duration(random.ExpFloat64() * mean)
+			if at >= t.Span.Std() {
+				break
+			}
+			out = append(out, arrival{at: at, flow: f, zone: random.IntN(len(t.Zones)), repeat: random.Float64() < f.Repeat})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b arrival) int { return int(a.at - b.at) })
+	for i := range out {
+		out[i].number = i
+	}
+	return out
+}
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -119,19 +119,19 @@
 	}
 }
 
-// serverDump is one backend server in the state dump.
-type serverDump struct {
+// ServerState is what this VM has decided about a backend server.
+type ServerState struct {
 	Server string  `json:"server"`
 	State  string  `json:"state"`
 	Weight float64 `json:"weight"`
 	Reason string  `json:"reason,omitempty"`
 }
 
-func (m *monitor) dump(now time.Time) map[string][]serverDump {
-	out := map[string][]serverDump{}
+func (m *monitor) dump(now time.Time) map[string][]ServerState {
+	out := map[string][]ServerState{}
 	for _, name := range m.order {
-		out[name] = lo.Map(m.watched[name].group.Decide(now), func(d health.Decision, _ int) serverDump {
-			return serverDump{Server: d.Server(), State: d.State().String(), Weight: d.Weight(), Reason: d.Reason()}
+		out[name] = lo.Map(m.watched[name].group.Decide(now), func(d health.Decision, _ int) ServerState {
+			return ServerState{Server: d.Server(), State: d.State().String(), Weight: d.Weight(), Reason: d.Reason()}
 		})
 	}
 	return out
