Parse, check, apply and encode release notes

Parse walks the document against the note types, so repeated names, names in another case, null and wrong types are refused, and all problems are listed at once. Apply fills in defaults and checks items, references, ambiguous routes and tokens on the release that the note would make.

Items lie in 64 buckets a kind by name hash.

--- /dev/null
+++ b/note/bench_test.go
@@ -0,0 +1,86 @@
+package note_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/azuredeal/azuredeal/note"
+)
+
+func sizes(b *testing.B, run func(b *testing.B, rel *note.Release)) {
+	for _, routes := range []int{250, 2500, 25_000} {
+		rel := must(b, nil, fleet(routes))
+		encode(b, rel)
+		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) { run(b, rel) })
+	}
+}
+
+// A note of one route, applied and encoded, as a publisher does.
+func BenchmarkApply(b *testing.B) {
+	sizes(b, func(b *testing.B, rel *note.Release) {
+		n := &note.Note{ID: "one", Added: note.Changes{Routes: []note.Route{route(30_000, 1)}}}
+		e := encode(b, rel)
+		var count, size int
+		for b.Loop() {
+			next := must(b, rel, n)
+			count, size = changed(e, encode(b, next))
+		}
+		b.ReportMetric(float64(count), "chunks/note")
+		b.ReportMetric(float64(size+len(e.Manifest().Data())), "bytes/note")
+	})
+}
+
+// A whole release from its items.
+func BenchmarkEncode(b *testing.B) {
+	sizes(b, func(b *testing.B, rel *note.Release) {
+		s, r, a := rel.Services(), rel.Routes(), rel.Accounts()
+		size := 0
+		for b.Loop() {
+			e := encode(b, note.NewRelease(1, s, r, a))
+			size = 0
+			for _, c := range e.Chunks() {
+				size += len(c.Data())
+			}
+		}
+		b.ReportMetric(float64(size), "bytes/release")
+	})
+}
+
+// A whole release on a VM that has none.
+func BenchmarkDecode(b *testing.B) {
+	sizes(b, func(b *testing.B, rel *note.Release) {
+		e := encode(b, rel)
+		m := manifest(b, e)
+		var kept *note.Release
+		var err error
+		for b.Loop() {
+			if kept, err = note.Decode(1, m, nil, source(e)); err != nil {
+				b.Fatal(err)
+			}
+		}
+		with := heap()
+		runtime.KeepAlive(kept)
+		b.ReportMetric(float64(with-heap()), "heap/release")
+	})
+}
+
+// A note of one route, taken in by a VM that has the release before it.
+func BenchmarkDecodeChange(b *testing.B) {
+	sizes(b, func(b *testing.B, rel *note.Release) {
+		e := encode(b, must(b, rel, &note.Note{ID: "one", Added: note.Changes{Routes: []note.Route{route(30_000, 1)}}}))
+		m := manifest(b, e)
+		for b.Loop() {
+			if _, err := note.Decode(2, m, rel, source(e)); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- /dev/null
+++ b/note/check.go
@@ -0,0 +1,185 @@
+package note
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of what a note may hold.
+const (
+	maxName     = 64
+	maxHost     = 253
+	maxPath     = 512
+	maxServers  = 2000
+	maxSlots    = 10_000
+	maxConns    = 1_000_000
+	maxQueue    = 100_000
+	maxBody     = 64 << 20 // Bytes; a VM holds the body in memory.
+	maxAnswer   = 1 << 40  // Bytes; long answers are streamed.
+	maxRate     = 1e6      // Requests a second.
+	maxBurst    = 1e6
+	minDeadline = 10 * time.Millisecond
+	maxDeadline = time.Hour
+	minPeriod   = 100 * time.Millisecond
+	maxPeriod   = 10 * time.Minute
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?(\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*$`)
+	pathPattern   = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()+,;=:@/-]*$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+	profiles = []string{ProfileFast, ProfileSteady}
+	echoes   = []string{EchoRequired, EchoChecked}
+	keys     = []string{KeyRequired, KeyOptional}
+	classes  = []string{ClassUrgent, ClassNormal, ClassBulk}
+	methods  = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+)
+
+const nameForm = "1 to 64 of a-z, 0-9, '.', '_' and '-', with a letter or digit at both ends"
+
+func (p *Problems) name(path, name string) {
+	if len(name) > maxName || !namePattern.MatchString(name) {
+		p.add(path, name, nameForm)
+	}
+}
+
+func (p *Problems) oneOf(path, value string, allowed []string) {
+	if !slices.Contains(allowed, value) {
+		p.add(path, value, "one of %s", strings.Join(allowed, ", "))
+	}
+}
+
+// inside checks a range, ends included. NaN is outside.
+func inside[T cmp.Ordered](p *Problems, path string, value, low, high T) {
+	if value >= low && value <= high {
+		return
+	}
+	p.add(path, value, "%v to %v", low, high)
+}
+
+func (p *Problems) span(path string, d Duration, low, high time.Duration) {
+	if d.Std() < low || d.Std() > high {
+		p.add(path, d.Std(), "%v to %v", low, high)
+	}
+}
+
+// check adds the problems of the service itself; its defaults are filled in.
+func (s Service) check(p *Problems, path string) {
+	p.name(path+".name", s.Name)
+	s.checkServers(p, path)
+	if n := s.staying(); n == 0 {
+		p.add(path+".servers", fmt.Sprintf("%d servers", len(s.Servers)), "at least one server that is not leaving")
+	} else {
+		inside(p, path+".floor", s.Floor, 1, n)
+	}
+	p.oneOf(path+".detection.profile", s.Detection.Profile, profiles)
+	inside(p, path+".detection.bias", s.Detection.Bias, 0, 1)
+	inside(p, path+".limits.queue", s.Limits.Queue, 1, maxQueue)
+	inside(p, path+".limits.body", s.Limits.Body, 1, maxBody)
+	inside(p, path+".limits.answer", s.Limits.Answer, 1, maxAnswer)
+	inside(p, path+".limits.retry", s.Limits.Retry, 0, 1)
+	p.span(path+".deadline", s.Deadline, minDeadline, maxDeadline)
+	p.path(path+".probe.path", s.Probe.Path)
+	p.span(path+".probe.period", s.Probe.Period, minPeriod, maxPeriod)
+	p.oneOf(path+".echo", s.Echo, echoes)
+}
+
+func (s Service) checkServers(p *Problems, path string) {
+	if len(s.Servers) > maxServers {
+		p.add(path+".servers", fmt.Sprintf("%d servers", len(s.Servers)), "at most %d servers", maxServers)
+		return
+	}
+	seen := make(map[string]bool, len(s.Servers))
+	for i, v := range s.Servers {
+		at := fmt.Sprintf("%s.servers[%d]", path, i)
+		p.address(at+".addr", v.Addr)
+		if seen[v.Addr] {
+			p.add(at+".addr", v.Addr, "an address that the service has once")
+		}
+		seen[v.Addr] = true
+		p.name(at+".zone", v.Zone)
+		inside(p, at+".slots", v.Slots, 1, maxSlots)
+		inside(p, at+".conns", v.Conns, 1, maxConns)
+	}
+}
+
+// address takes the canonical form only, so that two spellings cannot name one
+// server twice.
+func (p *Problems) address(path, addr string) {
+	ap, err := netip.ParseAddrPort(addr)
+	ok := err == nil && ap.Port() != 0 && ap.String() == addr &&
+		!ap.Addr().IsUnspecified() && !ap.Addr().IsMulticast() && ap.Addr().Zone() == ""
+	if !ok {
+		p.add(path, addr, `"ip:port" of one host in canonical form`)
+	}
+}
+
+// check adds the problems of the route itself; its defaults are filled in.
+func (t Route) check(p *Problems, path string) {
+	p.name(path+".name", t.Name)
+	if t.Host != "" && (len(t.Host) > maxHost || !hostPattern.MatchString(t.Host)) {
+		p.add(path+".host", t.Host, "empty, or a host name in lower case without a port")
+	}
+	p.path(path+".path", strings.TrimSuffix(t.Path, "*"))
+	if strings.HasSuffix(t.Path, "*") && !strings.HasSuffix(t.Path, "/*") {
+		p.add(path+".path", t.Path, `"*" only as the last part, after a "/"`)
+	}
+	t.checkMethods(p, path+".methods")
+	switch {
+	case !t.Idempotent:
+		p.oneOf(path+".key", t.Key, keys)
+	case t.Key != "":
+		p.add(path+".key", t.Key, "no key, because the route is idempotent")
+	}
+	if t.Deadline != 0 {
+		p.span(path+".deadline", t.Deadline, minDeadline, maxDeadline)
+	}
+	p.oneOf(path+".class", t.Class, classes)
+}
+
+func (t Route) checkMethods(p *Problems, path string) {
+	if len(t.Methods) == 0 {
+		p.add(path, "no methods", "at least one of %s", strings.Join(methods, ", "))
+	}
+	for i, m := range t.Methods {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		p.oneOf(at, m, methods)
+		if slices.Contains(t.Methods[:i], m) {
+			p.add(at, m, "each method once")
+		}
+	}
+}
+
+// path takes paths that no client or server rewrites: an escaped, dotted or
+// empty part would let one request match two routes.
+func (p *Problems) path(path, value string) {
+	dotted := slices.ContainsFunc(strings.Split(value, "/"), func(part string) bool {
+		return part == "." || part == ".."
+	})
+	if len(value) > maxPath || !pathPattern.MatchString(value) || strings.Contains(value, "//") || dotted {
+		p.add(path, value, `a path of at most %d bytes that starts with "/", without query, escapes and empty or dotted parts`,
+			maxPath)
+	}
+}
+
+// check adds the problems of the account itself; its defaults are filled in.
+func (a Account) check(p *Problems, path string) {
+	p.name(path+".name", a.Name)
+	if !digestPattern.MatchString(a.Digest) {
+		p.add(path+".digest", a.Digest, "SHA-256 of the token in 64 hex digits, lower case")
+	}
+	if a.Rate == 0 || !(a.Rate > 0 && a.Rate <= maxRate) {
+		p.add(path+".rate", a.Rate, "above 0, up to %v", float64(maxRate))
+	}
+	inside(p, path+".burst", a.Burst, 1, maxBurst)
+	if a.Class != "" {
+		p.oneOf(path+".class", a.Class, classes)
+	}
+}
--- a/note/release.go
+++ b/note/release.go
@@ -4,8 +4,7 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
+	"sync"
 	"time"
 )
 
@@ -123,33 +122,29 @@
 	Class  string  `json:"class,omitempty"` // Caps the class of its requests.
 }
 
-// Release is an immutable configuration with its generation.
+// Release is an immutable configuration with its generation. Its items lie in
+// buckets by name hash; releases that follow each other share the buckets that
+// no note changed.
 type Release struct {
 	generation uint64
-	services   map[string]Service
-	routes     map[string]Route
-	accounts   map[string]Account
+	services   table[Service]
+	routes     table[Route]
+	accounts   table[Account]
+
+	once    sync.Once // Guards encoded and err.
+	encoded *Encoded
+	err     error
 }
 
 // NewRelease returns a release that holds copies of the given lists. A later
 // item replaces an earlier one of the same name.
 func NewRelease(generation uint64, services []Service, routes []Route, accounts []Account) *Release {
-	r := &Release{
+	return &Release{
 		generation: generation,
-		services:   make(map[string]Service, len(services)),
-		routes:     make(map[string]Route, len(routes)),
-		accounts:   make(map[string]Account, len(accounts)),
-	}
-	for _, s := range services {
-		r.services[s.Name] = s
-	}
-	for _, t := range routes {
-		r.routes[t.Name] = t
-	}
-	for _, a := range accounts {
-		r.accounts[a.Name] = a
+		services:   newTable[Service]().with(services, nil),
+		routes:     newTable[Route]().with(routes, nil),
+		accounts:   newTable[Account]().with(accounts, nil),
 	}
-	return r
 }
 
 // Generation returns the number of the release; it grows by one with each
@@ -157,24 +152,24 @@
 func (r *Release) Generation() uint64 { return r.generation }
 
 // Service returns the service of that name.
-func (r *Release) Service(name string) (Service, bool) {
-	s, ok := r.services[name]
-	return s, ok
-}
+func (r *Release) Service(name string) (Service, bool) { return r.services.find(name) }
+
+// Route returns the route of that name.
+func (r *Release) Route(name string) (Route, bool) { return r.routes.find(name) }
+
+// Account returns the account of that name.
+func (r *Release) Account(name string) (Account, bool) { return r.accounts.find(name) }
 
 // Services returns all services, sorted by name.
-func (r *Release) Services() []Service { return sorted(r.services) }
+func (r *Release) Services() []Service { return r.services.sorted() }
 
 // Routes returns all routes, sorted by name.
-func (r *Release) Routes() []Route { return sorted(r.routes) }
+func (r *Release) Routes() []Route { return r.routes.sorted() }
 
 // Accounts returns all accounts, sorted by name.
-func (r *Release) Accounts() []Account { return sorted(r.accounts) }
+func (r *Release) Accounts() []Account { return r.accounts.sorted() }
 
-func sorted[T any](m map[string]T) []T {
-	out := make([]T, 0, len(m))
-	for _, name := range slices.Sorted(maps.Keys(m)) {
-		out = append(out, m[name])
-	}
-	return out
+// Counts returns how many services, routes and accounts the release holds.
+func (r *Release) Counts() (services, routes, accounts int) {
+	return r.services.size(), r.routes.size(), r.accounts.size()
 }
