--- /dev/null
+++ b/limit/budget.go
@@ -0,0 +1,116 @@
+package limit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	budgetSlot  = 500 * time.Millisecond
+	budgetSlots = 10 // A window of 5 s.
+)
+
+// Budget bounds retries and hedges to a share of requests, both within a sliding
+// window of 5 s and over the whole run of the process. The burst lets a service
+// with little traffic retry at all.
+type Budget struct {
+	ratio float64
+	burst float64
+
+	mu     sync.Mutex
+	slots  [budgetSlots]budgetCount
+	tokens float64 // What requests have earned and retries have not spent.
+}
+
+// budgetCount counts what happened in one slot of time.
+type budgetCount struct {
+	at     int64 // Number of the slot since the Unix epoch.
+	earned int
+	spent  int
+}
+
+// NewBudget returns a budget of ratio retries per request with a small burst.
+func NewBudget(ratio float64, burst int) *Budget {
+	return &Budget{ratio: ratio, burst: float64(burst), tokens: float64(burst)}
+}
+
+// Earn counts a request that a caller sent.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot, _, _ := b.window()
+	slot.earned++
+	b.tokens += b.ratio
+}
+
+// Spend reports whether one more retry or hedge may be sent, and counts it.
+func (b *Budget) Spend() bool {
+	const grain = 1e-9 // Above the rounding of repeated additions.
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot, earned, spent := b.window()
+	if b.tokens+grain < 1 || float64(spent+1) > b.burst+b.ratio*float64(earned)+grain {
+		return false
+	}
+	slot.spent++
+	b.tokens--
+	return true
+}
+
+// window returns the current slot and the sums over the window.
+func (b *Budget) window() (slot *budgetCount, earned, spent int) {
+	now := time.Now().UnixNano() / int64(budgetSlot)
+	slot = &b.slots[now%budgetSlots]
+	if slot.at != now {
+		*slot = budgetCount{at: now}
+	}
+	for _, s := range b.slots {
+		if s.at > now-budgetSlots {
+			earned += s.earned
+			spent += s.spent
+		}
+	}
+	return slot, earned, spent
+}
+
+// Backoff spaces out attempts at something that is down. Each pause is random
+// between half the first ceiling and the current one, and the ceiling doubles,
+// so that those who failed at the same time do not return at the same time. It
+// is not safe for concurrent use.
+type Backoff struct {
+	first  time.Duration
+	most   time.Duration
+	ceil   time.Duration
+	source *rand.Rand
+}
+
+// NewBackoff returns a backoff whose ceiling grows from first to most. VMs need
+// different seeds.
+func NewBackoff(first, most time.Duration, seed uint64) *Backoff {
+	return &Backoff{first: first, most: most, ceil: first, source: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Next returns the pause before the next attempt.
+func (b *Backoff) Next() time.Duration {
+	low := b.first / 2
+	pause := low + time.Duration(b.source.Int64N(int64(b.ceil-low)+1))
+	b.ceil = min(b.most, 2*b.ceil)
+	return pause
+}
+
+// Reset starts over after a success.
+func (b *Backoff) Reset() { b.ceil = b.first }
+
+// Wait sleeps for the next pause. It returns the error of ctx when that ends first.
+func (b *Backoff) Wait(ctx context.Context) error {
+	timer := time.NewTimer(b.Next())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/limit/queue.go
@@ -0,0 +1,303 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/azuredeal/azuredeal/fault"
+)
+
+// bulkShare is the part of the room that bulk may use. Without the rest, long
+// bulk requests that hold every place would starve the other classes, however
+// the queue is ordered.
+const bulkShare = 0.75
+
+// Queue admits requests of one service on this VM.
+//
+// A place goes to the classes by weight, within a class to the accounts in turn,
+// and within an account in order of arrival. A request that cannot end before
+// its deadline, by the times of recent requests, is refused at once.
+type Queue struct {
+	mu      sync.Mutex
+	room    int
+	depth   int
+	running [classCount]int
+	lines   *lines
+	times   times
+}
+
+// waiter is a request in the queue. The fields that settle sets are written
+// under the lock of the queue before done is closed.
+type waiter struct {
+	ask     Ask
+	seq     uint64 // Order of arrival.
+	done    chan struct{}
+	settled bool
+	err     error // Nil when the waiter was admitted.
+}
+
+func (w *waiter) settle(err error) {
+	w.settled = true
+	w.err = err
+	close(w.done)
+}
+
+// NewQueue returns a queue that lets room requests run at once and depth wait.
+func NewQueue(room, depth int) *Queue {
+	return &Queue{room: room, depth: depth, lines: newLines()}
+}
+
+// SetRoom changes how many requests may run at once. More room admits waiting
+// requests at once; with less room none starts until enough have left.
+func (q *Queue) SetRoom(room int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.room = room
+	q.admitWaiting(time.Now())
+}
+
+// SetDepth changes how many requests may wait. Those that wait already stay.
+func (q *Queue) SetDepth(depth int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.depth = depth
+}
+
+// Running returns how many requests were admitted and have not left.
+func (q *Queue) Running() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.total()
+}
+
+// Waiting returns how many requests wait.
+func (q *Queue) Waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lines.count
+}
+
+// Enter waits for room. It returns a function that gives the room back, or a
+// fault of kind QueueFull, DeadlineShort or Canceled. The deadline is the
+// earlier one of ctx and ask. Calls of leave after the first have no effect.
+func (q *Queue) Enter(ctx context.Context, ask Ask) (leave func(), err error) {
+	ask.Class = min(ask.Class, Bulk)
+	if d, ok := ctx.Deadline(); ok && (ask.Deadline.IsZero() || d.Before(ask.Deadline)) {
+		ask.Deadline = d
+	}
+	if ctx.Err() != nil {
+		return nil, ended(ctx)
+	}
+	w, err := q.join(ask)
+	if err != nil {
+		return nil, err
+	}
+	if err := q.wait(ctx, w); err != nil {
+		return nil, err
+	}
+	return q.leaver(ask.Class, time.Now()), nil
+}
+
+// join admits the request, queues it or refuses it.
+func (q *Queue) join(ask Ask) (*waiter, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	if !q.canEnd(now, ask) {
+		return nil, fault.New(fault.DeadlineShort, "%d ms left, %d wait", ask.Deadline.Sub(now).Milliseconds(), q.lines.count)
+	}
+	w := &waiter{ask: ask, done: make(chan struct{})}
+	if q.hasRoom(ask.Class) && q.lines.empty(ask.Class) {
+		q.admit(w)
+		return w, nil
+	}
+	if q.lines.count >= q.depth {
+		out := q.lines.displace(ask)
+		if out == nil {
+			return nil, fault.New(fault.QueueFull, "%d requests wait", q.lines.count)
+		}
+		out.settle(fault.New(fault.QueueFull, "displaced by another request"))
+	}
+	q.lines.push(w)
+	return w, nil
+}
+
+// wait returns when the waiter was admitted or refused, or can no longer end in
+// time, or ctx has ended.
+func (q *Queue) wait(ctx context.Context, w *waiter) error {
+	select {
+	case <-w.done:
+		return w.err
+	default:
+	}
+	var late <-chan time.Time
+	if !w.ask.Deadline.IsZero() {
+		timer := time.NewTimer(time.Until(q.latestStart(w.ask)))
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-w.done:
+		return w.err
+	case <-late:
+		return q.abandon(w, fault.New(fault.DeadlineShort, "no room before the deadline"), false)
+	case <-ctx.Done():
+		return q.abandon(w, ended(ctx), true)
+	}
+}
+
+// abandon takes the waiter out of the queue and returns err. A waiter that was
+// settled meanwhile keeps its result, except that room it was given is given
+// back when release is set.
+func (q *Queue) abandon(w *waiter, err error, release bool) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case !w.settled:
+		q.lines.remove(w)
+		w.settle(err)
+	case w.err == nil && release:
+		q.release(w.ask.Class)
+		return err
+	}
+	return w.err
+}
+
+// ended returns the fault for a context that has ended.
+func ended(ctx context.Context) error {
+	kind := fault.Canceled
+	if ctx.Err() == context.DeadlineExceeded {
+		kind = fault.DeadlineShort
+	}
+	return fault.Wrap(kind, ctx.Err(), "wait for room")
+}
+
+// leaver returns the function that gives room back.
+func (q *Queue) leaver(class Class, start time.Time) func() {
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			q.times.add(time.Since(start))
+			q.release(class)
+		})
+	}
+}
+
+// The methods below need the lock.
+
+func (q *Queue) admit(w *waiter) {
+	q.running[w.ask.Class]++
+	w.settle(nil)
+}
+
+func (q *Queue) release(class Class) {
+	q.running[class]--
+	q.admitWaiting(time.Now())
+}
+
+// admitWaiting fills the room from the queue. A waiter that can no longer end in
+// time is refused and takes no room.
+func (q *Queue) admitWaiting(now time.Time) {
+	for {
+		w := q.lines.pop(q.hasRoom)
+		switch {
+		case w == nil:
+			return
+		case q.total() > 0 && q.tooLate(now, w.ask, 0):
+			w.settle(fault.New(fault.DeadlineShort, "no room in time"))
+		default:
+			q.admit(w)
+		}
+	}
+}
+
+func (q *Queue) total() int {
+	sum := 0
+	for _, n := range q.running {
+		sum += n
+	}
+	return sum
+}
+
+// hasRoom reports whether one more request of the class may run.
+func (q *Queue) hasRoom(class Class) bool {
+	if q.total() >= q.room {
+		return false
+	}
+	return class != Bulk || q.running[Bulk] < q.roomOf(Bulk)
+}
+
+// roomOf returns how many requests of the class may run at once.
+func (q *Queue) roomOf(class Class) int {
+	if class != Bulk {
+		return q.room
+	}
+	return min(q.room, max(1, int(float64(q.room)*bulkShare)))
+}
+
+// canEnd reports whether the request can end before its deadline. When nothing
+// runs only the deadline itself counts, so that one request at a time can
+// correct an estimate that would otherwise refuse all.
+func (q *Queue) canEnd(now time.Time, ask Ask) bool {
+	if ask.Deadline.IsZero() {
+		return true
+	}
+	if q.total() == 0 && q.lines.count == 0 {
+		return now.Before(ask.Deadline)
+	}
+	var wait time.Duration
+	if !q.hasRoom(ask.Class) || !q.lines.empty(ask.Class) {
+		wait = q.times.wait(q.lines.ahead(ask)+1, q.roomOf(ask.Class))
+	}
+	return !q.tooLate(now, ask, wait)
+}
+
+// tooLate reports whether a request that starts after wait would miss its deadline.
+func (q *Queue) tooLate(now time.Time, ask Ask, wait time.Duration) bool {
+	return !ask.Deadline.IsZero() && !now.Add(wait+q.times.fast).Before(ask.Deadline)
+}
+
+func (q *Queue) latestStart(ask Ask) time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return ask.Deadline.Add(-q.times.fast)
+}
+
+const (
+	meanWeight  = 0.1 // Weight of one more request in the mean.
+	fastPortion = 0.2 // Portion of requests that are faster than fast.
+	fastStep    = 0.2 // Step of the estimate of fast, as a share of it.
+)
+
+// times estimates how long requests hold their room.
+type times struct {
+	mean time.Duration // Says how fast the queue moves.
+	// fast is a low quantile. A request is refused for its own time only by this
+	// one, because a service has short and long requests.
+	fast time.Duration
+}
+
+func (t *times) add(took time.Duration) {
+	if t.mean == 0 {
+		t.mean, t.fast = took, took
+		return
+	}
+	t.mean += time.Duration(meanWeight * float64(took-t.mean))
+	switch {
+	case took > t.fast:
+		t.fast += min(took-t.fast, time.Duration(fastStep*fastPortion*float64(t.fast))+1)
+	case took < t.fast:
+		t.fast -= min(t.fast-took, time.Duration(fastStep*(1-fastPortion)*float64(t.fast))+1)
+	}
+}
+
+// wait returns the time until n requests have left, with room running at once.
+func (t *times) wait(n, room int) time.Duration {
+	if room <= 0 {
+		return 0
+	}
+	return t.mean * time.Duration(n) / time.Duration(room)
+}
