strict: one decoder for settings and release notes

note had a check of the form of its own beside the decoder of conf. The check now sets the fields while it reads, so a note of 12 MB is read once instead of twice, and conf refuses null and repeated names as note did.

--- a/cmd/azuredeal/operate.go
+++ b/cmd/azuredeal/operate.go
@@ -14,6 +14,7 @@
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/replay"
+	"github.com/azuredeal/azuredeal/strict"
 )
 
 type operator struct {
@@ -113,7 +114,13 @@
 		fmt.Println("ok")
 		return nil
 	}
-	fmt.Fprintln(os.Stderr, err)
+	var problems strict.Problems
+	if !errors.As(err, &problems) {
+		return err
+	}
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
 	return errInvalid
 }
 
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -5,7 +5,9 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/azuredeal/azuredeal/note"
@@ -106,13 +108,16 @@
 // Parse decodes and checks settings. It lists every problem at once.
 func Parse(data []byte) (Settings, error) {
 	s := Default()
-	ps := strict.Decode(data, &s)
+	ps := strict.Decode("settings", data, maxFile, &s)
 	s.check(&ps)
 	return s, ps.Err()
 }
 
+var levels = []string{"debug", "info", "warn", "error"}
+
 const (
-	minSecret = 32 // Bytes; the length of the SHA-256 output that it keys.
+	maxFile   = 1 << 20 // Bytes of a settings file.
+	minSecret = 32      // Bytes; the length of the SHA-256 output that it keys.
 	minHeader = 1 << 10
 	maxHeader = 1 << 20
 	maxConns  = 1 << 20
@@ -128,17 +133,17 @@
 	s.checkAddrs(ps)
 	s.checkTLS(ps)
 	if u, err := url.Parse(s.Platform.URL); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		ps.Add("platform.url", strconv.Quote(s.Platform.URL), "an http or https URL")
+		ps.Add("platform.url", s.Platform.URL, "an http or https URL")
 	}
 	s.checkLimits(ps)
-	if allowed, ok := strict.OneOf(s.Log, "debug", "info", "warn", "error"); !ok {
-		ps.Add("log", strconv.Quote(s.Log), allowed)
+	if !slices.Contains(levels, s.Log) {
+		ps.Add("log", s.Log, "one of %s", strings.Join(levels, ", "))
 	}
 }
 
 func checkName(ps *strict.Problems, path, name string) {
 	if name == "" || len(name) > maxName {
-		ps.Add(path, strconv.Quote(name), "a name of 1 to 63 bytes")
+		ps.Add(path, name, "a name of 1 to 63 bytes")
 	}
 }
 
@@ -157,7 +162,7 @@
 // checkAddr asks for an IP number, since the VMs have no name service.
 func checkAddr(ps *strict.Problems, path, addr string) {
 	if _, err := netip.ParseAddrPort(addr); err != nil {
-		ps.Add(path, strconv.Quote(addr), `an IP number and port such as "10.0.0.1:8000"`)
+		ps.Add(path, addr, `an IP number and port such as "10.0.0.1:8000"`)
 	}
 }
 
@@ -194,7 +199,7 @@
 
 func checkRange(ps *strict.Problems, path string, value, low, high int) {
 	if value < low || value > high {
-		ps.Add(path, value, strconv.Itoa(low)+" to "+strconv.Itoa(high))
+		ps.Add(path, value, "%d to %d", low, high)
 	}
 }
 
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -26,11 +26,19 @@
 // An operator must see every problem of a file at once, not the first one only.
 func TestLoadBadListsEveryProblem(t *testing.T) {
 	_, err := Load("testdata/bad.json")
+	ps, ok := err.(strict.Problems)
+	if !ok {
+		t.Fatalf("error %v is no list of problems", err)
+	}
+	got := ""
+	for _, p := range ps {
+		got += p.String() + "\n"
+	}
 	want, readErr := os.ReadFile("testdata/bad.golden")
 	if readErr != nil {
 		t.Fatal(readErr)
 	}
-	if got := err.Error() + "\n"; got != string(want) {
+	if got != string(want) {
 		t.Errorf("problems differ from testdata/bad.golden:\n%s", got)
 	}
 }
--- a/note/apply.go
+++ b/note/apply.go
@@ -16,16 +16,16 @@
 		rel = NewRelease(0, nil, nil, nil)
 	}
 	var p Problems
-	p.name("id", n.ID)
+	checkName(&p, "id", n.ID)
 	services := merge(&p, "services", rel.services, n.Added.Services, n.Changed.Services, n.Withdrawn.Services)
 	routes := merge(&p, "routes", rel.routes, n.Added.Routes, n.Changed.Routes, n.Withdrawn.Routes)
 	accounts := merge(&p, "accounts", rel.accounts, n.Added.Accounts, n.Changed.Accounts, n.Withdrawn.Accounts)
 	if len(services.items)+len(services.gone)+len(routes.items)+len(routes.gone)+
 		len(accounts.items)+len(accounts.gone) == 0 {
-		p.add("note", "no changes", "at least one item in added, changed or withdrawn")
+		p.Add("note", "no changes", "at least one item in added, changed or withdrawn")
 	}
 	if rel.generation == math.MaxUint64 {
-		p.add("base", rel.generation, "a generation that can grow")
+		p.Add("base", rel.generation, "a generation that can grow")
 	}
 	next := &Release{
 		generation: rel.generation + 1,
@@ -63,7 +63,7 @@
 	seen := map[string]string{} // Path by name.
 	once := func(path, name string) {
 		if first, ok := seen[name]; ok {
-			p.add(path, name, "a name that the note has once; it is also at %s", first)
+			p.Add(path, name, "a name that the note has once; it is also at %s", first)
 			return
 		}
 		seen[name] = path
@@ -75,7 +75,7 @@
 			v.check(p, path)
 			once(path+".name", v.label())
 			if _, ok := have.find(v.label()); ok != exists {
-				p.add(path+".name", v.label(), "%s", allowed)
+				p.Add(path+".name", v.label(), "%s", allowed)
 			}
 			d.items = append(d.items, v)
 			d.paths = append(d.paths, path)
@@ -87,7 +87,7 @@
 		path := fmt.Sprintf("withdrawn.%s[%d]", kind, i)
 		once(path, name)
 		if _, ok := have.find(name); !ok {
-			p.add(path, name, "a name that exists")
+			p.Add(path, name, "a name that exists")
 		}
 	}
 	d.gone = withdrawn
@@ -98,7 +98,7 @@
 func checkServices(p *Problems, next *Release, routes delta[Route]) {
 	for i, t := range routes.items {
 		if _, ok := next.services.find(t.Service); !ok {
-			p.add(routes.paths[i]+".service", t.Service, "a service that exists after the note")
+			p.Add(routes.paths[i]+".service", t.Service, "a service that exists after the note")
 		}
 	}
 }
@@ -127,7 +127,7 @@
 	}
 	for i, name := range withdrawn {
 		if by := users[name]; len(by) > 0 {
-			p.add(fmt.Sprintf("withdrawn.services[%d]", i), name, "a service that no route uses; it is used by %s", some(by))
+			p.Add(fmt.Sprintf("withdrawn.services[%d]", i), name, "a service that no route uses; it is used by %s", some(by))
 		}
 	}
 }
@@ -168,7 +168,7 @@
 				continue
 			}
 			if m := sharedMethod(&t, other); m != "" {
-				p.add(routes.paths[i]+".path", strings.TrimSpace(m+" "+t.Host+t.Path),
+				p.Add(routes.paths[i]+".path", strings.TrimSpace(m+" "+t.Host+t.Path),
 					"a host, path and method that no other route has; route %s has them", other.Name)
 				break
 			}
@@ -201,7 +201,7 @@
 	}
 	for i, a := range accounts.items {
 		if owners[a.Digest] > 1 {
-			p.add(accounts.paths[i]+".digest", a.Digest, "a token that no other account has")
+			p.Add(accounts.paths[i]+".digest", a.Digest, "a token that no other account has")
 		}
 	}
 }
--- a/note/check.go
+++ b/note/check.go
@@ -44,15 +44,15 @@
 
 const nameForm = "1 to 64 of a-z, 0-9, '.', '_' and '-', with a letter or digit at both ends"
 
-func (p *Problems) name(path, name string) {
+func checkName(p *Problems, path, name string) {
 	if len(name) > maxName || !namePattern.MatchString(name) {
-		p.add(path, name, nameForm)
+		p.Add(path, name, nameForm)
 	}
 }
 
-func (p *Problems) oneOf(path, value string, allowed []string) {
+func checkOneOf(p *Problems, path, value string, allowed []string) {
 	if !slices.Contains(allowed, value) {
-		p.add(path, value, "one of %s", strings.Join(allowed, ", "))
+		p.Add(path, value, "one of %s", strings.Join(allowed, ", "))
 	}
 }
 
@@ -61,50 +61,50 @@
 	if value >= low && value <= high {
 		return
 	}
-	p.add(path, value, "%v to %v", low, high)
+	p.Add(path, value, "%v to %v", low, high)
 }
 
-func (p *Problems) span(path string, d Duration, low, high time.Duration) {
+func checkSpan(p *Problems, path string, d Duration, low, high time.Duration) {
 	if d.Std() < low || d.Std() > high {
-		p.add(path, d.Std(), "%v to %v", low, high)
+		p.Add(path, d.Std(), "%v to %v", low, high)
 	}
 }
 
 // check adds the problems of the service itself; its defaults are filled in.
 func (s Service) check(p *Problems, path string) {
-	p.name(path+".name", s.Name)
+	checkName(p, path+".name", s.Name)
 	s.checkServers(p, path)
 	if n := s.staying(); n == 0 {
-		p.add(path+".servers", fmt.Sprintf("%d servers", len(s.Servers)), "at least one server that is not leaving")
+		p.Add(path+".servers", fmt.Sprintf("%d servers", len(s.Servers)), "at least one server that is not leaving")
 	} else {
 		inside(p, path+".floor", s.Floor, 1, n)
 	}
-	p.oneOf(path+".detection.profile", s.Detection.Profile, profiles)
+	checkOneOf(p, path+".detection.profile", s.Detection.Profile, profiles)
 	inside(p, path+".detection.bias", s.Detection.Bias, 0, 1)
 	inside(p, path+".limits.queue", s.Limits.Queue, 1, maxQueue)
 	inside(p, path+".limits.body", s.Limits.Body, 1, maxBody)
 	inside(p, path+".limits.answer", s.Limits.Answer, 1, maxAnswer)
 	inside(p, path+".limits.retry", s.Limits.Retry, 0, 1)
-	p.span(path+".deadline", s.Deadline, minDeadline, maxDeadline)
-	p.path(path+".probe.path", s.Probe.Path)
-	p.span(path+".probe.period", s.Probe.Period, minPeriod, maxPeriod)
-	p.oneOf(path+".echo", s.Echo, echoes)
+	checkSpan(p, path+".deadline", s.Deadline, minDeadline, maxDeadline)
+	checkPath(p, path+".probe.path", s.Probe.Path)
+	checkSpan(p, path+".probe.period", s.Probe.Period, minPeriod, maxPeriod)
+	checkOneOf(p, path+".echo", s.Echo, echoes)
 }
 
 func (s Service) checkServers(p *Problems, path string) {
 	if len(s.Servers) > maxServers {
-		p.add(path+".servers", fmt.Sprintf("%d servers", len(s.Servers)), "at most %d servers", maxServers)
+		p.Add(path+".servers", fmt.Sprintf("%d servers", len(s.Servers)), "at most %d servers", maxServers)
 		return
 	}
 	seen := make(map[string]bool, len(s.Servers))
 	for i, v := range s.Servers {
 		at := fmt.Sprintf("%s.servers[%d]", path, i)
-		p.address(at+".addr", v.Addr)
+		checkAddress(p, at+".addr", v.Addr)
 		if seen[v.Addr] {
-			p.add(at+".addr", v.Addr, "an address that the service has once")
+			p.Add(at+".addr", v.Addr, "an address that the service has once")
 		}
 		seen[v.Addr] = true
-		p.name(at+".zone", v.Zone)
+		checkName(p, at+".zone", v.Zone)
 		inside(p, at+".slots", v.Slots, 1, maxSlots)
 		inside(p, at+".conns", v.Conns, 1, maxConns)
 	}
@@ -112,74 +112,74 @@
 
 // address takes the canonical form only, so that two spellings cannot name one
 // server twice.
-func (p *Problems) address(path, addr string) {
+func checkAddress(p *Problems, path, addr string) {
 	ap, err := netip.ParseAddrPort(addr)
 	ok := err == nil && ap.Port() != 0 && ap.String() == addr &&
 		!ap.Addr().IsUnspecified() && !ap.Addr().IsMulticast() && ap.Addr().Zone() == ""
 	if !ok {
-		p.add(path, addr, `"ip:port" of one host in canonical form`)
+		p.Add(path, addr, `"ip:port" of one host in canonical form`)
 	}
 }
 
 // check adds the problems of the route itself; its defaults are filled in.
 func (t Route) check(p *Problems, path string) {
-	p.name(path+".name", t.Name)
+	checkName(p, path+".name", t.Name)
 	if t.Host != "" && (len(t.Host) > maxHost || !hostPattern.MatchString(t.Host)) {
-		p.add(path+".host", t.Host, "empty, or a host name in lower case without a port")
+		p.Add(path+".host", t.Host, "empty, or a host name in lower case without a port")
 	}
-	p.path(path+".path", strings.TrimSuffix(t.Path, "*"))
+	checkPath(p, path+".path", strings.TrimSuffix(t.Path, "*"))
 	if strings.HasSuffix(t.Path, "*") && !strings.HasSuffix(t.Path, "/*") {
-		p.add(path+".path", t.Path, `"*" only as the last part, after a "/"`)
+		p.Add(path+".path", t.Path, `"*" only as the last part, after a "/"`)
 	}
 	t.checkMethods(p, path+".methods")
 	switch {
 	case !t.Idempotent:
-		p.oneOf(path+".key", t.Key, keys)
+		checkOneOf(p, path+".key", t.Key, keys)
 	case t.Key != "":
-		p.add(path+".key", t.Key, "no key, because the route is idempotent")
+		p.Add(path+".key", t.Key, "no key, because the route is idempotent")
 	}
 	if t.Deadline != 0 {
-		p.span(path+".deadline", t.Deadline, minDeadline, maxDeadline)
+		checkSpan(p, path+".deadline", t.Deadline, minDeadline, maxDeadline)
 	}
-	p.oneOf(path+".class", t.Class, classes)
+	checkOneOf(p, path+".class", t.Class, classes)
 }
 
 func (t Route) checkMethods(p *Problems, path string) {
 	if len(t.Methods) == 0 {
-		p.add(path, "no methods", "at least one of %s", strings.Join(methods, ", "))
+		p.Add(path, "no methods", "at least one of %s", strings.Join(methods, ", "))
 	}
 	for i, m := range t.Methods {
 		at := fmt.Sprintf("%s[%d]", path, i)
-		p.oneOf(at, m, methods)
+		checkOneOf(p, at, m, methods)
 		if slices.Contains(t.Methods[:i], m) {
-			p.add(at, m, "each method once")
+			p.Add(at, m, "each method once")
 		}
 	}
 }
 
 // path takes paths that no client or server rewrites: an escaped, dotted or
 // empty part would let one request match two routes.
-func (p *Problems) path(path, value string) {
+func checkPath(p *Problems, path, value string) {
 	dotted := slices.ContainsFunc(strings.Split(value, "/"), func(part string) bool {
 		return part == "." || part == ".."
 	})
 	if len(value) > maxPath || !pathPattern.MatchString(value) || strings.Contains(value, "//") || dotted {
-		p.add(path, value, `a path of at most %d bytes that starts with "/", without query, escapes and empty or dotted parts`,
+		p.Add(path, value, `a path of at most %d bytes that starts with "/", without query, escapes and empty or dotted parts`,
 			maxPath)
 	}
 }
 
 // check adds the problems of the account itself; its defaults are filled in.
 func (a Account) check(p *Problems, path string) {
-	p.name(path+".name", a.Name)
+	checkName(p, path+".name", a.Name)
 	if !digestPattern.MatchString(a.Digest) {
-		p.add(path+".digest", a.Digest, "SHA-256 of the token in 64 hex digits, lower case")
+		p.Add(path+".digest", a.Digest, "SHA-256 of the token in 64 hex digits, lower case")
 	}
 	if a.Rate == 0 || !(a.Rate > 0 && a.Rate <= maxRate) {
-		p.add(path+".rate", a.Rate, "above 0, up to %v", float64(maxRate))
+		p.Add(path+".rate", a.Rate, "above 0, up to %v", float64(maxRate))
 	}
 	inside(p, path+".burst", a.Burst, 1, maxBurst)
 	if a.Class != "" {
-		p.oneOf(path+".class", a.Class, classes)
+		checkOneOf(p, path+".class", a.Class, classes)
 	}
 }
--- a/note/defaults.go
+++ b/note/defaults.go
@@ -21,11 +21,18 @@
 	defaultRate     = 100 // Requests a second.
 )
 
-// UnmarshalJSON implements json.Unmarshaler. It keeps the defaults of fields
-// whose zero value is meaningful.
+// Preset sets the defaults of fields whose zero value is meaningful. Decoders
+// call it before they read a service.
+func (s *Service) Preset() {
+	s.Detection.Bias = defaultBias
+	s.Limits.Retry = defaultRetry
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
 func (s *Service) UnmarshalJSON(data []byte) error {
 	type plain Service
-	p := plain{Detection: Detection{Bias: defaultBias}, Limits: Limits{Retry: defaultRetry}}
+	s.Preset()
+	p := plain(*s)
 	if err := json.Unmarshal(data, &p); err != nil {
 		return err
 	}
--- a/note/note.go
+++ b/note/note.go
@@ -5,12 +5,19 @@
 	"encoding/json"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/strict"
 )
 
 // MaxNote is the largest note, in bytes. The first note of a fleet with 25,000
 // routes and 53,000 accounts has about 12 MB.
 const MaxNote = 16 << 20
 
+// Problem is one reason why a note is refused.
+type Problem = strict.Problem
+
+// Problems lists every reason why a note is refused.
+type Problems = strict.Problems
+
 // Note is a release note: what it changes in the release of generation Base. An
 // item in Changed replaces the item of its name as a whole.
 type Note struct {
@@ -40,12 +47,9 @@
 // MaxNote bytes; an error is of type Problems and lists all of them. The items
 // are checked by Apply.
 func Parse(data []byte) (*Note, error) {
-	if problems := checkShape(data); len(problems) > 0 {
-		return nil, problems
-	}
 	n := &Note{}
-	if err := json.Unmarshal(data, n); err != nil {
-		return nil, fault.Wrap(fault.Invalid, err, "note")
+	if problems := strict.Decode("note", data, MaxNote, n); len(problems) > 0 {
+		return nil, problems
 	}
 	return n, nil
 }
--- a/note/problem.go
+++ b/strict/problem.go
@@ -1,4 +1,4 @@
-package note
+package strict
 
 import (
 	"encoding/json"
@@ -13,7 +13,7 @@
 	valueRoom = 120 // Bytes of a value that a problem repeats.
 )
 
-// Problem is one reason why a note is refused.
+// Problem is one reason why an input is refused.
 type Problem struct {
 	path    string
 	value   string
@@ -23,7 +23,7 @@
 // Path returns where the problem is, such as "added.routes[3].path".
 func (p Problem) Path() string { return p.path }
 
-// Value returns what the note has there, shortened when it is long.
+// Value returns what the input has there, shortened when it is long.
 func (p Problem) Value() string { return p.value }
 
 // Allowed says what may be there.
@@ -34,16 +34,26 @@
 	return fmt.Sprintf("%s: %q is not allowed; allowed: %s", p.path, p.value, p.allowed)
 }
 
+type problemJSON struct {
+	Path    string `json:"path"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
 // MarshalJSON implements json.Marshaler.
 func (p Problem) MarshalJSON() ([]byte, error) {
-	return json.Marshal(struct {
-		Path    string `json:"path"`
-		Value   string `json:"value"`
-		Allowed string `json:"allowed"`
-	}{p.path, p.value, p.allowed})
+	return json.Marshal(problemJSON{p.path, p.value, p.allowed})
+}
+
+// UnmarshalJSON implements json.Unmarshaler, for clients that show problems.
+func (p *Problem) UnmarshalJSON(data []byte) error {
+	var in problemJSON
+	err := json.Unmarshal(data, &in)
+	*p = Problem{in.Path, in.Value, in.Allowed}
+	return err
 }
 
-// Problems lists every reason why a note is refused. As an error it is a fault
+// Problems lists every reason why an input is refused. As an error it is a fault
 // of kind Invalid; an empty list is no error, see Err.
 type Problems []Problem
 
@@ -71,8 +81,8 @@
 // Unwrap gives the problems their kind in an error chain.
 func (p Problems) Unwrap() error { return fault.New(fault.Invalid, "%d problems", len(p)) }
 
-// add appends a problem; format and args make the text of what is allowed.
-func (p *Problems) add(path string, value any, format string, args ...any) {
+// Add appends a problem; format and args make the text of what is allowed.
+func (p *Problems) Add(path string, value any, format string, args ...any) {
 	text := shorten(fmt.Sprint(value), valueRoom)
 	*p = append(*p, Problem{path: path, value: text, allowed: fmt.Sprintf(format, args...)})
 }
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -1,217 +1,280 @@
 // Package strict decodes JSON settings and collects every problem in one pass.
-// encoding/json stops at the first error, and an operator who fixes a file wants
-// the whole list.
+// encoding/json alone accepts repeated field names, names in another case and
+// null, and stops at the first error; an operator who mends a file wants the
+// whole list.
 package strict
 
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"reflect"
-	"slices"
 	"strconv"
 	"strings"
-
-	"github.com/cockroachdb/errors"
-	"github.com/samber/lo"
 )
 
-// Problem is one thing that is wrong with an input.
-type Problem struct {
-	path    string
-	value   string
-	allowed string
-}
-
-// Path returns where the problem is, such as "services[2].floor".
-func (p Problem) Path() string { return p.path }
-
-// Value returns the offending value as it stands in the input.
-func (p Problem) Value() string { return p.value }
-
-// Allowed returns what is allowed at that place.
-func (p Problem) Allowed() string { return p.allowed }
-
-// String returns the problem on one line.
-func (p Problem) String() string {
-	return fmt.Sprintf("%s: %s: allowed: %s", p.path, p.value, p.allowed)
-}
-
-// MarshalJSON implements json.Marshaler.
-func (p Problem) MarshalJSON() ([]byte, error) {
-	return json.Marshal(map[string]string{"path": p.path, "value": p.value, "allowed": p.allowed})
-}
-
-// Problems lists all that is wrong with an input.
-type Problems []Problem
+const maxName = 64 // Bytes of a field name that a path repeats.
 
-// Add appends a problem. The value is shortened when it is long.
-func (ps *Problems) Add(path string, value any, allowed string) {
-	*ps = append(*ps, Problem{path: path, value: shorten(fmt.Sprint(value)), allowed: allowed})
+type decoder struct {
+	dec      *json.Decoder
+	root     string
+	problems Problems
+	broken   bool // The rest is not JSON.
 }
 
-// Error implements error, one problem a line.
-func (ps Problems) Error() string {
-	return strings.Join(lo.Map(ps, func(p Problem, _ int) string { return p.String() }), "\n")
-}
+var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
 
-// Err returns the problems as an error, or nil when there are none.
-func (ps Problems) Err() error {
-	if len(ps) == 0 {
-		return nil
+// Decode reads one JSON object of at most limit bytes into the struct that v
+// points to and returns every problem. root names the whole input in paths.
+// Fields that the input lacks or that have a problem keep their value.
+func Decode(root string, data []byte, limit int, v any) Problems {
+	d := &decoder{dec: json.NewDecoder(bytes.NewReader(data)), root: root}
+	if len(data) > limit {
+		d.problems.Add(root, fmt.Sprintf("%d bytes", len(data)), "at most %d bytes", limit)
+		return d.problems
 	}
-	return ps
-}
-
-const maxShown = 60 // Bytes of a value in a message.
-
-func shorten(s string) string {
-	if len(s) <= maxShown {
-		return s
+	d.dec.UseNumber()
+	if token, ok := d.next(""); ok {
+		d.value("", token, reflect.ValueOf(v).Elem())
 	}
-	return s[:maxShown] + "..."
+	if d.broken {
+		return d.problems
+	}
+	end := d.dec.InputOffset()
+	if _, err := d.dec.Token(); !errors.Is(err, io.EOF) {
+		d.problems.Add(root, fmt.Sprintf("data after byte %d", end), "one JSON object")
+	}
+	return d.problems
 }
 
-// Decode reads one JSON value into the struct that v points to. It refuses
-// unknown and repeated fields and trailing data, and goes on after a problem.
-// Where a field has a problem, v keeps its former value.
-func Decode(data []byte, v any) Problems {
-	var ps Problems
-	if !json.Valid(data) {
-		ps.Add("$", describeSyntax(data), "one JSON value")
-		return ps
+func (d *decoder) add(path string, value any, allowed string) {
+	if path == "" {
+		path = d.root
 	}
-	decodeValue(&ps, "$", data, reflect.ValueOf(v).Elem())
-	return ps
+	d.problems.Add(path, value, "%s", allowed)
 }
 
-func describeSyntax(data []byte) string {
-	var raw json.RawMessage
-	err := json.Unmarshal(data, &raw)
-	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
-		return fmt.Sprintf("%v at byte %d", err, syntax.Offset)
+// next reads a token; it reports false once the document is not JSON.
+func (d *decoder) next(path string) (json.Token, bool) {
+	if d.broken {
+		return nil, false
 	}
-	return "invalid JSON"
+	token, err := d.dec.Token()
+	if err != nil {
+		d.broken = true
+		d.add(path, fmt.Sprintf("%v at byte %d", err, d.dec.InputOffset()), "JSON")
+		return nil, false
+	}
+	return token, true
 }
 
-var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
-
-func decodeValue(ps *Problems, path string, data []byte, v reflect.Value) {
+// value decodes the value that token starts.
+func (d *decoder) value(path string, token json.Token, v reflect.Value) {
+	_, nested := token.(json.Delim)
 	switch {
-	case v.Addr().Type().Implements(unmarshaler):
-		decodePlain(ps, path, data, v)
-	case v.Kind() == reflect.Struct:
-		decodeStruct(ps, path, data, v)
-	case v.Kind() == reflect.Slice:
-		decodeSlice(ps, path, data, v)
+	case token == nil:
+		d.wrong(path, token, describe(v.Type()))
+	case hasUnmarshaler(v.Type()) && !nested:
+		d.custom(path, token, v)
+	case v.Kind() == reflect.Struct && token == json.Delim('{'):
+		d.object(path, v)
+	case v.Kind() == reflect.Slice && token == json.Delim('['):
+		d.array(path, v)
+	case nested || v.Kind() == reflect.Struct || v.Kind() == reflect.Slice:
+		d.wrong(path, token, describe(v.Type()))
 	default:
-		decodePlain(ps, path, data, v)
+		d.scalar(path, token, v)
 	}
 }
 
-func decodePlain(ps *Problems, path string, data []byte, v reflect.Value) {
-	fresh := reflect.New(v.Type())
-	if err := json.Unmarshal(data, fresh.Interface()); err != nil {
-		ps.Add(path, string(data), describe(v.Type()))
-		return
-	}
-	v.Set(fresh.Elem())
-}
+func hasUnmarshaler(t reflect.Type) bool { return reflect.PointerTo(t).Implements(unmarshaler) }
 
+// describe says which JSON value a type takes.
 func describe(t reflect.Type) string {
 	switch {
 	case t.Name() == "Duration":
 		return `a duration such as "1.5s"`
-	case t.Kind() == reflect.String:
-		return "a string"
+	case t.Kind() == reflect.Struct:
+		return "an object"
+	case t.Kind() == reflect.Slice:
+		return "an array"
 	case t.Kind() == reflect.Bool:
 		return "true or false"
-	case t.Kind() == reflect.Float64:
-		return "a number"
+	case t.Kind() == reflect.String:
+		return "a string"
 	default:
-		return "a whole number"
+		return "a number"
 	}
 }
 
-func decodeSlice(ps *Problems, path string, data []byte, v reflect.Value) {
-	var items []json.RawMessage
-	if err := json.Unmarshal(data, &items); err != nil {
-		ps.Add(path, string(data), "a list")
-		return
-	}
-	out := reflect.MakeSlice(v.Type(), len(items), len(items))
-	for i, item := range items {
-		decodeValue(ps, fmt.Sprintf("%s[%d]", path, i), item, out.Index(i))
-	}
-	v.Set(out)
-}
+// presetter is a type whose defaults have to be in place before its fields are
+// read.
+type presetter interface{ Preset() }
 
-func decodeStruct(ps *Problems, path string, data []byte, v reflect.Value) {
-	if trimmed := bytes.TrimSpace(data); trimmed[0] != '{' {
-		ps.Add(path, string(data), "an object")
-		return
+func (d *decoder) object(path string, v reflect.Value) {
+	if p, ok := v.Addr().Interface().(presetter); ok {
+		p.Preset()
 	}
-	fields := fieldsOf(v.Type())
 	seen := map[string]bool{}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	_, _ = dec.Token()
-	for dec.More() {
-		name, raw, err := member(dec)
-		if err != nil {
-			ps.Add(path, err, "an object")
+	for d.dec.More() {
+		token, ok := d.next(path)
+		if !ok {
+			return
+		}
+		name, _ := token.(string)
+		inner := join(path, name)
+		if token, ok = d.next(inner); !ok {
 			return
 		}
-		at := join(path, name)
-		index, known := fields[name]
+		index, known := fieldOf(v.Type(), name)
 		switch {
 		case !known:
-			ps.Add(at, "unknown field", "one of "+strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
+			d.wrong(inner, token, "one of the fields "+strings.Join(namesOf(v.Type()), ", "))
 		case seen[name]:
-			ps.Add(at, "repeated field", "each field once")
+			d.wrong(inner, token, "the field once")
 		default:
-			decodeValue(ps, at, raw, v.Field(index))
+			d.value(inner, token, v.Field(index))
 		}
 		seen[name] = true
 	}
+	d.next(path) // The closing brace.
+}
+
+func (d *decoder) array(path string, v reflect.Value) {
+	out := reflect.MakeSlice(v.Type(), 0, 0)
+	for i := 0; d.dec.More(); i++ {
+		inner := path + "[" + strconv.Itoa(i) + "]"
+		token, ok := d.next(inner)
+		if !ok {
+			return
+		}
+		out = reflect.Append(out, reflect.Zero(v.Type().Elem()))
+		d.value(inner, token, out.Index(i))
+	}
+	v.Set(out)
+	d.next(path) // The closing bracket.
+}
+
+// custom hands the value to the type's own decoder.
+func (d *decoder) custom(path string, token json.Token, v reflect.Value) {
+	text, err := json.Marshal(token)
+	if err == nil {
+		err = v.Addr().Interface().(json.Unmarshaler).UnmarshalJSON(text)
+	}
+	if err != nil {
+		d.add(path, token, describe(v.Type()))
+	}
+}
+
+func (d *decoder) scalar(path string, token json.Token, v reflect.Value) {
+	switch t := token.(type) {
+	case bool:
+		if v.Kind() == reflect.Bool {
+			v.SetBool(t)
+			return
+		}
+	case string:
+		if v.Kind() == reflect.String {
+			v.SetString(t)
+			return
+		}
+	case json.Number:
+		if v.CanInt() || v.CanUint() || v.CanFloat() {
+			d.number(path, t, v)
+			return
+		}
+	}
+	d.add(path, token, describe(v.Type()))
 }
 
-func member(dec *json.Decoder) (string, json.RawMessage, error) {
-	token, err := dec.Token()
+func (d *decoder) number(path string, n json.Number, v reflect.Value) {
+	var err error
+	allowed := "a whole number"
+	switch {
+	case v.CanFloat():
+		var f float64
+		if f, err = strconv.ParseFloat(n.String(), 64); err == nil {
+			v.SetFloat(f)
+		}
+		allowed = "a number that fits 64 bits"
+	case v.CanInt():
+		var i int64
+		if i, err = strconv.ParseInt(n.String(), 10, v.Type().Bits()); err == nil {
+			v.SetInt(i)
+		}
+	default:
+		var u uint64
+		if u, err = strconv.ParseUint(n.String(), 10, v.Type().Bits()); err == nil {
+			v.SetUint(u)
+		}
+		allowed = "a whole number from 0"
+	}
 	if err != nil {
-		return "", nil, err
+		d.add(path, n, allowed)
+	}
+}
+
+// wrong adds a problem and skips the value that token starts.
+func (d *decoder) wrong(path string, token json.Token, allowed string) {
+	text := fmt.Sprint(token)
+	if token == nil {
+		text = "null"
+	}
+	d.add(path, text, allowed)
+	depth := nesting(token)
+	for depth > 0 {
+		inner, ok := d.next(path)
+		if !ok {
+			return
+		}
+		depth += nesting(inner)
 	}
-	name, ok := token.(string)
-	if !ok {
-		return "", nil, io.ErrUnexpectedEOF
+}
+
+func nesting(token json.Token) int {
+	switch token {
+	case json.Delim('{'), json.Delim('['):
+		return 1
+	case json.Delim('}'), json.Delim(']'):
+		return -1
 	}
-	var raw json.RawMessage
-	err = dec.Decode(&raw)
-	return name, raw, err
+	return 0
 }
 
 func join(path, name string) string {
-	if path == "$" {
+	name = shorten(name, maxName)
+	if path == "" {
 		return name
 	}
 	return path + "." + name
 }
 
-// fieldsOf maps the JSON names of a struct to the indexes of its fields.
-func fieldsOf(t reflect.Type) map[string]int {
-	out := map[string]int{}
+// fieldOf returns the index of the field with that JSON name.
+func fieldOf(t reflect.Type, name string) (int, bool) {
 	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		if name != "" && name != "-" {
-			out[name] = i
+		if tagName(t.Field(i)) == name {
+			return i, true
 		}
 	}
+	return 0, false
+}
+
+func namesOf(t reflect.Type) []string {
+	out := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		out = append(out, tagName(t.Field(i)))
+	}
 	return out
 }
 
-// Field describes one field of a format, for generated pages.
+func tagName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+// Field describes one field of a format, for pages that list them.
 type Field struct {
 	path string
 	kind string
@@ -220,11 +283,10 @@
 // Path returns the path of the field, with "[]" after a list.
 func (f Field) Path() string { return f.path }
 
-// Kind returns what the field holds.
+// Kind says what the field holds.
 func (f Field) Kind() string { return f.kind }
 
-// Fields lists the fields of the struct type of v, depth first, in order of
-// declaration.
+// Fields lists the fields of the struct v, depth first, in order of declaration.
 func Fields(v any) []Field {
 	var out []Field
 	walk(reflect.TypeOf(v), "", &out)
@@ -233,27 +295,14 @@
 
 func walk(t reflect.Type, prefix string, out *[]Field) {
 	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		if name == "" || name == "-" {
-			continue
-		}
-		path, ft := prefix+name, t.Field(i).Type
-		if ft.Kind() == reflect.Pointer {
-			ft = ft.Elem()
-		}
+		path, ft := prefix+tagName(t.Field(i)), t.Field(i).Type
 		if ft.Kind() == reflect.Slice {
 			path, ft = path+"[]", ft.Elem()
 		}
-		if ft.Kind() == reflect.Struct && !reflect.PointerTo(ft).Implements(unmarshaler) {
+		if ft.Kind() == reflect.Struct && !hasUnmarshaler(ft) {
 			walk(ft, path+".", out)
 			continue
 		}
 		*out = append(*out, Field{path: path, kind: describe(ft)})
 	}
 }
-
-// OneOf returns the text of an allowed list of words, and whether value is one.
-func OneOf(value string, words ...string) (string, bool) {
-	quoted := lo.Map(words, func(w string, _ int) string { return strconv.Quote(w) })
-	return strings.Join(quoted, ", "), slices.Contains(words, value)
-}
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -27,19 +27,19 @@
 		paths []string
 	}{
 		{"good", `{"name":"a","items":[{"size":1}],"rate":1.5}`, nil},
-		{"syntax", `{"name":`, []string{"$"}},
+		{"syntax", `{"name":`, []string{"name"}},
 		{"trailing data", `{} {}`, []string{"$"}},
 		{"not an object", `[]`, []string{"$"}},
 		{"null", `null`, []string{"$"}},
 		{"several", `{"name":1,"items":[{"size":"x"},{"siez":1}],"other":2}`, []string{"name", "items[0].size", "items[1].siez", "other"}},
 		{"repeated", `{"name":"a","name":"b"}`, []string{"name"}},
-		{"nested null", `{"one":null,"items":null}`, []string{"one"}},
+		{"nested null", `{"one":null,"items":null}`, []string{"one", "items"}},
 		{"own unmarshaler", `{"at":"noon"}`, []string{"at"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var v outer
-			ps := Decode([]byte(tt.in), &v)
+			ps := Decode("$", []byte(tt.in), 1<<10, &v)
 			if len(ps) != len(tt.paths) {
 				t.Fatalf("problems = %v, want paths %v", ps, tt.paths)
 			}
@@ -54,7 +54,7 @@
 
 func TestDecodeGoesOnAfterProblem(t *testing.T) {
 	var v outer
-	Decode([]byte(`{"name":1,"one":{"size":4}}`), &v)
+	Decode("$", []byte(`{"name":1,"one":{"size":4}}`), 1<<10, &v)
 	if v.One.Size != 4 {
 		t.Errorf("one.size = %d, want 4", v.One.Size)
 	}
@@ -64,6 +64,6 @@
 	var v struct {
 		Floor int `json:"floor"`
 	}
-	fmt.Println(Decode([]byte(`{"floor":"ten"}`), &v))
-	// Output: floor: "ten": allowed: a whole number
+	fmt.Println(Decode("note", []byte(`{"floor":"ten"}`), 1<<10, &v)[0])
+	// Output: floor: "ten" is not allowed; allowed: a number
 }
