--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,11 +16,30 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/net/netutil"
 
+	"github.com/azuredeal/azuredeal/objapi"
+	"github.com/azuredeal/azuredeal/store"
 	"github.com/azuredeal/azuredeal/worker"
 )
 
 type commands struct {
-	Worker workerCommand `cmd:"" help:"Run a backend server that can show gray failures."`
+	Platform platformCommand `cmd:"" help:"Run the platform: object API and list of VMs."`
+	Worker   workerCommand   `cmd:"" help:"Run a backend server that can show gray failures."`
+}
+
+type platformCommand struct {
+	Addr    string `help:"Address to serve on, ip:port." default:"127.0.0.1:0"`
+	Latency int    `help:"Added before each call, in milliseconds." default:"2"`
+	Outage  string `help:"Outage to begin with: drop, refuse or hang." enum:",drop,refuse,hang" default:""`
+	Lost    int    `help:"Lose the answer of one in this many writes; 0 loses none." default:"0"`
+	Seed    uint64 `help:"Seed of the lost answers." default:"1"`
+	Conns   int    `help:"Connections." default:"4000"`
+}
+
+// Run serves until the process is told to stop.
+func (c *platformCommand) Run(ctx context.Context, log zerolog.Logger) error {
+	server := objapi.New(store.NewMemory())
+	server.SetFaults(objapi.Faults{Latency: c.Latency, Outage: c.Outage, Lost: c.Lost, Seed: c.Seed})
+	return serve(ctx, log, c.Addr, c.Conns, server)
 }
 
 type workerCommand struct {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -53,7 +53,7 @@
 	}
 	var seeds []string
 	for i, zone := range t.Zones {
-		vm, err := entry.New(f.settings(i, zone, platform, seeds), entry.Options{Log: log})
+		vm, err := entry.New(ctx, f.settings(i, zone, platform, seeds), entry.Options{Log: log})
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/entry/dump.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/member"
+	"github.com/azuredeal/azuredeal/proxy"
+)
+
+// Dump is the state of an entry VM's process. It holds no secrets.
+type Dump struct {
+	Name        string                   `json:"name"`
+	Zone        string                   `json:"zone"`
+	Incarnation uint64                   `json:"incarnation"`
+	Generation  uint64                   `json:"generation"`
+	Leaving     bool                     `json:"leaving"`
+	Keys        int                      `json:"keys"` // In the ledger.
+	Board       BoardDump                `json:"board"`
+	Release     deploy.FollowDump        `json:"release"`
+	Publisher   deploy.PublishStats      `json:"publisher"`
+	Members     member.Dump              `json:"members"`
+	Health      map[string][]ServerState `json:"health"`
+	Traffic     []proxy.ServiceDump      `json:"traffic"`
+}
+
+// BoardDump is the state of the control loop.
+type BoardDump struct {
+	Steps   uint64 `json:"steps"`
+	Dropped uint64 `json:"dropped"` // Samples that the loop could not take.
+}
+
+// Dump returns the state of the VM. It fails when the control loop does not
+// answer before ctx ends.
+func (v *VM) Dump(ctx context.Context) (*Dump, error) {
+	b := do.MustInvoke[*board.Board](v.parts)
+	var health map[string][]ServerState
+	if err := b.Do(ctx, func(now time.Time) { health = v.health.dump(now) }); err != nil {
+		return nil, err
+	}
+	return &Dump{
+		Name:        v.settings.Name,
+		Zone:        v.settings.Zone,
+		Incarnation: v.incarnation,
+		Generation:  v.Generation(),
+		Leaving:     v.callers.leaving.Load(),
+		Keys:        do.MustInvoke[*idem.Ledger](v.parts).Len(),
+		Board:       BoardDump{Steps: b.Steps(), Dropped: b.Dropped()},
+		Release:     do.MustInvoke[*deploy.Follower](v.parts).Dump(),
+		Publisher:   do.MustInvoke[*deploy.Publisher](v.parts).Stats(),
+		Members:     do.MustInvoke[*member.Service](v.parts).Dump(),
+		Health:      health,
+		Traffic:     do.MustInvoke[*proxy.Handler](v.parts).Dump(),
+	}, nil
+}
+
+// addresses answers which VMs a caller in the given zone should use: nearest zone
+// first, VMs that are leaving or suspected left out.
+func (v *VM) addresses(zone string) []Address {
+	if zone == "" {
+		zone = v.settings.Zone
+	}
+	snapshot := do.MustInvoke[*member.Service](v.parts).Snapshot()
+	zones := lo.SliceToMap(snapshot.Alive(), func(m member.Member) (string, string) { return m.Entry(), m.Zone() })
+	return lo.Map(snapshot.Entries(zone, v.settings.Name), func(addr string, _ int) Address {
+		return Address{Addr: addr, Zone: zones[addr]}
+	})
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,149 @@
+// Package entry assembles an entry VM: the address for callers, the operators'
+// API, the links to the other VMs, the control loop, and the graceful shutdown.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/conf"
+	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/member"
+	"github.com/azuredeal/azuredeal/peer"
+	"github.com/azuredeal/azuredeal/proxy"
+)
+
+// Options are what settings cannot say.
+type Options struct {
+	Log zerolog.Logger
+}
+
+// VM is one entry VM.
+type VM struct {
+	settings    conf.Settings
+	log         zerolog.Logger
+	incarnation uint64
+	listeners   listeners
+	parts       do.Injector
+	health      *monitor
+	callers     *callers
+	probes      *probes
+	drain       chan struct{}
+	drainOnce   sync.Once
+}
+
+// listeners are open from New on, so that the addresses are known when settings
+// ask for port 0.
+type listeners struct {
+	entry net.Listener
+	admin net.Listener
+	peer  net.Listener
+}
+
+// New opens the addresses of the settings and assembles the VM. Its work ends
+// with ctx.
+func New(ctx context.Context, settings conf.Settings, opts Options) (*VM, error) {
+	v := &VM{
+		settings:    settings,
+		log:         opts.Log.With().Str("vm", settings.Name).Logger(),
+		incarnation: newIncarnation(time.Now()),
+		drain:       make(chan struct{}),
+	}
+	if err := v.listen(); err != nil {
+		return nil, err
+	}
+	v.health = newMonitor(v.log, v.incarnation)
+	v.assemble(ctx)
+	return v, nil
+}
+
+const randomBits = 16
+
+// newIncarnation returns a number that is higher for a later start of the same VM
+// and differs between VMs that start at the same moment.
+func newIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixNano())>>randomBits<<randomBits | uint64(rand.IntN(1<<randomBits))
+}
+
+func (v *VM) listen() error {
+	for _, l := range []struct {
+		addr *string
+		into *net.Listener
+	}{
+		{&v.settings.Entry.Addr, &v.listeners.entry},
+		{&v.settings.Admin.Addr, &v.listeners.admin},
+		{&v.settings.Peer.Addr, &v.listeners.peer},
+	} {
+		listener, err := net.Listen("tcp", *l.addr)
+		if err != nil {
+			v.closeListeners()
+			return errors.Wrapf(err, "listen on %s", *l.addr)
+		}
+		*l.into = listener
+		*l.addr = listener.Addr().String()
+	}
+	return nil
+}
+
+func (v *VM) closeListeners() {
+	for _, l := range []net.Listener{v.listeners.entry, v.listeners.admin, v.listeners.peer} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// EntryAddr returns the address for callers, "ip:port".
+func (v *VM) EntryAddr() string { return v.settings.Entry.Addr }
+
+// AdminAddr returns the address for operators, "ip:port".
+func (v *VM) AdminAddr() string { return v.settings.Admin.Addr }
+
+// PeerAddr returns the address for other VMs, "ip:port".
+func (v *VM) PeerAddr() string { return v.settings.Peer.Addr }
+
+// Generation returns the generation of the release in effect, 0 before the first.
+func (v *VM) Generation() uint64 { return do.MustInvoke[*proxy.Handler](v.parts).Generation() }
+
+// Alive returns how many VMs this one holds for alive, itself included.
+func (v *VM) Alive() int { return len(do.MustInvoke[*member.Service](v.parts).Snapshot().Alive()) }
+
+// Drain begins the graceful shutdown; Run returns when it is done.
+func (v *VM) Drain() { v.drainOnce.Do(func() { close(v.drain) }) }
+
+// Run serves until the graceful shutdown has ended or ctx ends. After ctx has
+// ended, requests in flight are answered "unknown" where they were sent.
+func (v *VM) Run(ctx context.Context) error {
+	defer v.closeListeners()
+	work, stop := context.WithCancel(ctx)
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return do.MustInvoke[*board.Board](v.parts).Run(work) })
+	group.Go(func() error { return do.MustInvoke[*peer.Peer](v.parts).Run(work) })
+	group.Go(func() error { return do.MustInvoke[*member.Service](v.parts).Run(work) })
+	group.Go(func() error { return do.MustInvoke[*deploy.Follower](v.parts).Run(work) })
+	group.Go(func() error { return v.watchHolders(work) })
+	group.Go(func() error { return v.serveOperators(work) })
+	group.Go(func() error {
+		defer stop()
+		return v.serveCallers(work)
+	})
+	v.log.Info().Str("entry", v.EntryAddr()).Str("admin", v.AdminAddr()).Str("peer", v.PeerAddr()).
+		Uint64("incarnation", v.incarnation).Msg("entry VM started")
+	err := group.Wait()
+	do.MustInvoke[*proxy.Handler](v.parts).Close()
+	v.log.Info().Err(err).Msg("entry VM stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/entry/fleet.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/member"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/pick"
+)
+
+const (
+	// subsetSize is above the 20 backend servers of the largest service of the
+	// first users, so that each of their few VMs sees all of them.
+	subsetSize   = 24
+	holdersCheck = time.Second
+)
+
+// localize returns the release with the backend servers that the named VM uses.
+func localize(rel *note.Release, vm string) *note.Release {
+	services := lo.Map(rel.Services(), func(s note.Service, _ int) note.Service {
+		s.Servers = subset(s, vm)
+		return s
+	})
+	return note.NewRelease(rel.Generation(), services, rel.Routes(), rel.Accounts())
+}
+
+func subset(s note.Service, vm string) []note.Server {
+	if len(s.Servers) <= subsetSize {
+		return s.Servers
+	}
+	targets := lo.Map(s.Servers, func(b note.Server, _ int) *pick.Target {
+		return pick.NewTarget(b.Addr, b.Zone, b.Slots)
+	})
+	chosen := lo.SliceToMap(pick.Subset(vm, targets, subsetSize, s.Floor), func(t *pick.Target) (string, bool) {
+		return t.Addr(), true
+	})
+	return lo.Filter(s.Servers, func(b note.Server, _ int) bool { return chosen[b.Addr] })
+}
+
+// watchHolders keeps the follower told whether this VM is one of those that hold
+// a watch, since the platform counts each waiting watch as a call.
+func (v *VM) watchHolders(ctx context.Context) error {
+	for {
+		snapshot := do.MustInvoke[*member.Service](v.parts).Snapshot()
+		zone := lo.FilterMap(snapshot.Alive(), func(m member.Member, _ int) (string, bool) {
+			return m.ID(), m.Zone() == v.settings.Zone
+		})
+		chosen := deploy.WatchHolders(v.settings.Zone, zone, deploy.MaxHolders)
+		do.MustInvoke[*deploy.Follower](v.parts).SetWatch(slices.Contains(chosen, v.settings.Name))
+		if !pause(ctx, holdersCheck) {
+			return ctx.Err()
+		}
+	}
+}
+
+// probes runs one prober loop for each service; a service that a release leaves
+// alone keeps its loop, so that frequent releases do not stop the probing.
+type probes struct {
+	ctx    context.Context //nolint:containedctx // The loops outlive the call that starts them.
+	prober *prober
+	mu     sync.Mutex
+	loops  map[string]probeLoop
+}
+
+type probeLoop struct {
+	service note.Service
+	stop    context.CancelFunc
+}
+
+func newProbes(ctx context.Context, p *prober) *probes {
+	return &probes{ctx: ctx, prober: p, loops: map[string]probeLoop{}}
+}
+
+func (p *probes) set(services []note.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := map[string]probeLoop{}
+	for _, s := range services {
+		loop, running := p.loops[s.Name]
+		if !running || !reflect.DeepEqual(loop.service, s) {
+			loop = p.start(s)
+		} else {
+			delete(p.loops, s.Name)
+		}
+		next[s.Name] = loop
+	}
+	for _, old := range p.loops {
+		old.stop()
+	}
+	p.loops = next
+}
+
+func (p *probes) start(s note.Service) probeLoop {
+	ctx, stop := context.WithCancel(p.ctx)
+	go p.prober.run(ctx, s)
+	return probeLoop{service: s, stop: stop}
+}
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +19,7 @@
 	group   *health.Group
 	service note.Service
 	states  map[string]health.State
+	weights map[string]float64 // As traffic has them.
 }
 
 // monitor is the controller that feeds the health groups and publishes their
@@ -29,8 +31,14 @@
 	apply   func(service string, weights map[string]float64)
 	order   []string
 	watched map[string]*watched
+	steps   int
+	latest  atomic.Pointer[[]*wire.Report] // For heartbeats, which run elsewhere.
 }
 
+// reportSteps is how many steps pass between reports; at 100 ms a step it matches
+// the interval of heartbeats.
+const reportSteps = 5
+
 func newMonitor(log zerolog.Logger, origin uint64) *monitor {
 	return &monitor{log: log, origin: origin, watched: map[string]*watched{}}
 }
@@ -50,6 +58,8 @@
 			w.group.SetOrigin(m.origin)
 		}
 		w.service = s
+		// The release may have given servers new targets, so all weights are set again.
+		w.weights = map[string]float64{}
 		w.group.SetPolicy(health.NewPolicy(s.Detection))
 		w.group.Set(now, lo.Map(s.Servers, func(b note.Server, _ int) health.Server {
 			return health.NewServer(b.Addr, b.Zone, b.Leaving)
@@ -78,13 +88,30 @@
 	for _, name := range m.order {
 		w := m.watched[name]
 		w.group.Flights(now, flights[name])
-		weights := map[string]float64{}
+		changed := map[string]float64{}
 		for _, d := range w.group.Decide(now) {
-			weights[d.Server()] = d.Weight()
+			if before, known := w.weights[d.Server()]; !known || before != d.Weight() {
+				w.weights[d.Server()] = d.Weight()
+				changed[d.Server()] = d.Weight()
+			}
 			m.record(w, d)
 		}
-		m.apply(name, weights)
+		if len(changed) > 0 {
+			m.apply(name, changed)
+		}
+	}
+	if m.steps++; m.steps%reportSteps == 0 {
+		reports := m.reports(now)
+		m.latest.Store(&reports)
+	}
+}
+
+// published returns the newest reports; any goroutine may call it.
+func (m *monitor) published() []*wire.Report {
+	if reports := m.latest.Load(); reports != nil {
+		return *reports
 	}
+	return nil
 }
 
 // record logs and counts a change of state; a decision that stays is silent.
@@ -110,11 +137,11 @@
 	return out
 }
 
-func (m *monitor) merge(now time.Time, from string, reports []*wire.Report) {
+func (m *monitor) merge(now time.Time, reports []*wire.Report) {
 	byService := lo.GroupBy(reports, func(r *wire.Report) string { return r.GetService() })
 	for name, list := range byService {
 		if w := m.watched[name]; w != nil {
-			w.group.Merge(now, from, lo.Map(list, func(r *wire.Report, _ int) health.Report { return health.FromWire(r) }))
+			w.group.Merge(now, "", lo.Map(list, func(r *wire.Report, _ int) health.Report { return health.FromWire(r) }))
 		}
 	}
 }
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"golang.org/x/net/netutil"
+
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/member"
+	"github.com/azuredeal/azuredeal/proxy"
+)
+
+const (
+	endTime     = 2 * time.Second // For refusals to reach callers at a hard end.
+	streams     = 100             // Requests at once on one HTTP/2 connection.
+	settleCheck = 20 * time.Millisecond
+)
+
+// newServer returns a server with the limits for callers. Its own log lines are
+// dropped: they would be one for each caller that leaves early.
+func (v *VM) newServer(ctx context.Context, handler http.Handler) *http.Server {
+	limits := v.settings.Limits
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: limits.Read.Std(),
+		IdleTimeout:       limits.Idle.Std(),
+		MaxHeaderBytes:    limits.Header,
+		ErrorLog:          stdlog.New(io.Discard, "", 0),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		Protocols:         new(http.Protocols),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: streams},
+	}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetHTTP2(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	return server
+}
+
+// serveCallers serves until the graceful shutdown has ended or ctx ends.
+func (v *VM) serveCallers(ctx context.Context) error {
+	requests, cut := context.WithCancel(context.WithoutCancel(ctx))
+	defer cut()
+	server := v.newServer(requests, v.callers.handler())
+	listener := netutil.LimitListener(v.listeners.entry, v.settings.Limits.Conns)
+	ended := make(chan error, 1)
+	go func() { ended <- v.accept(server, listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	case <-v.drain:
+		v.leave(ctx, server)
+	}
+	// Requests that are still in flight end with an accurate refusal.
+	cut()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTime)
+	defer cancel()
+	if err := server.Shutdown(last); err != nil {
+		return errors.Wrap(server.Close(), "close callers' connections")
+	}
+	return nil
+}
+
+func (v *VM) accept(server *http.Server, listener net.Listener) error {
+	var err error
+	if v.settings.Entry.Cert == "" {
+		err = server.Serve(listener)
+	} else {
+		server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+		err = server.ServeTLS(listener, v.settings.Entry.Cert, v.settings.Entry.Key)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve callers")
+}
+
+// leave is the graceful shutdown. Callers keep an answer with addresses for the
+// TTL, so the VM goes on serving that long after it has announced that it leaves.
+func (v *VM) leave(ctx context.Context, server *http.Server) {
+	v.log.Info().Stringer("ttl", v.settings.Drain.TTL.Std()).Msg("leaving")
+	v.callers.leaving.Store(true)
+	do.MustInvoke[*member.Service](v.parts).Leave()
+	if !pause(ctx, v.settings.Drain.TTL.Std()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, v.settings.Drain.Deadline.Std())
+	defer cancel()
+	err := server.Shutdown(ctx)
+	v.settle(ctx)
+	v.log.Info().Err(err).Msg("callers' connections ended")
+}
+
+// settle waits for requests that other VMs have forwarded here.
+func (v *VM) settle(ctx context.Context) {
+	handler := do.MustInvoke[*proxy.Handler](v.parts)
+	busy := func() bool {
+		return lo.SomeBy(handler.Flights(), func(f board.Flight) bool { return f.Count > 0 })
+	}
+	for busy() && pause(ctx, settleCheck) {
+	}
+}
+
+// operators gives the handler of the operators' API a type of its own, by which
+// the container finds it.
+type operators struct{ http.Handler }
+
+func (v *VM) serveOperators(ctx context.Context) error {
+	server := v.newServer(ctx, do.MustInvoke[*operators](v.parts).Handler)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(v.listeners.admin); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve operators")
+	}
+	return nil
+}
