--- a/idem/idem.go
+++ b/idem/idem.go
@@ -1,9 +1,19 @@
-// Package idem runs a keyed request at most once across the fleet.
+// Package idem runs a keyed request at most once across the fleet. Each key has
+// one owner, the incarnation of a VM that alone may dispatch it: an issued key
+// names its owner, and a caller's own key gets one by a claim in the platform.
+// The owner's ledger remembers what became of each key until the key expires.
 package idem
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/azuredeal/azuredeal/fault"
 )
 
 // Answer is a whole response that can be given again.
@@ -44,11 +54,69 @@
 // key never runs again.
 type Run func(ctx context.Context) (*Answer, error)
 
-// Guard runs keyed requests at most once.
-type Guard struct{}
+// size returns about how much memory the answer takes, in bytes.
+func (a *Answer) size() int64 {
+	n := len(a.body)
+	for name, values := range a.header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return int64(n)
+}
+
+// digest is the first half of a SHA-256.
+type digest [16]byte
+
+// newDigest hashes parts so that no two lists of parts give the same input.
+func newDigest(parts ...[]byte) digest {
+	h := sha256.New()
+	var length [8]byte
+	for _, part := range parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write(part)
+	}
+	return digest(h.Sum(nil)[:len(digest{})])
+}
+
+// keyDigest identifies the key. Keys of different accounts differ.
+func (c *Call) keyDigest() digest { return newDigest([]byte(c.Account), []byte(c.Key)) }
+
+// bodyDigest identifies the request. The host is left out: a caller that repeats
+// its request at another VM may name that one.
+func (c *Call) bodyDigest() digest {
+	return newDigest([]byte(c.Method), []byte(c.Target), c.Body)
+}
+
+// Owner is the one VM that may dispatch a key.
+type Owner struct {
+	incarnation uint64
+	peer        string
+}
+
+// NewOwner returns the owner with the given incarnation and address for links
+// between VMs, "ip:port".
+func NewOwner(incarnation uint64, peer string) Owner {
+	return Owner{incarnation: incarnation, peer: peer}
+}
+
+// Incarnation returns the number that each start of a VM gets anew.
+func (o Owner) Incarnation() uint64 { return o.incarnation }
+
+// Peer returns the address for links between VMs, "ip:port".
+func (o Owner) Peer() string { return o.peer }
+
+// KeyLife is how long a key is valid and remembered.
+const KeyLife = time.Hour
 
-// Do runs the call on the VM that owns its key, or returns the answer of its
-// first run.
-func (g *Guard) Do(ctx context.Context, _ Call, run Run) (*Answer, error) {
-	return run(ctx)
+// ended returns the fault for a caller whose context ended while the request may
+// run.
+func ended(ctx context.Context, msg string) error {
+	kind := fault.Canceled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		kind = fault.Timeout
+	}
+	return fault.Wrap(kind, ctx.Err(), msg)
 }
