entry: look parts up through the root container; worker: answer 504 at the deadline

Cause of dropped connections in the process test: samber/do hands each provider a container that remembers who asked for whom, so a part that looks its partner up when it is called panicked with a circular dependency; net/http recovered and closed the caller's connection. The lines of net/http are now logged at debug, because this one had been dropped.

Cause of an empty answer with status 200: the stand-in returned without a status when the deadline it was given had passed.

proxy: a hedge that the budget refused is tried again.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -154,7 +154,8 @@
 	for i, seed := range s.Peer.Seeds {
 		checkAddr(ps, "peer.seeds["+strconv.Itoa(i)+"]", seed)
 	}
-	if s.Admin.Addr != "" && s.Admin.Addr == s.Entry.Addr {
+	// Port 0 asks for a free port, so two of them are different addresses.
+	if entry, err := netip.ParseAddrPort(s.Entry.Addr); err == nil && entry.Port() != 0 && s.Admin.Addr == s.Entry.Addr {
 		ps.Add("admin.addr", s.Admin.Addr, "an address other than entry.addr, which callers reach")
 	}
 }
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -14,12 +14,12 @@
 	fleet *fleet
 
 	mu     sync.Mutex
-	faults []*fault
+	faults []*failure
 	lowest map[string]int // Fewest usable servers of a service in any VM's view.
 }
 
-// fault is a worker that misbehaves, with the time until a VM cut its share.
-type fault struct {
+// failure is a worker that misbehaves, with the time until a VM cut its share.
+type failure struct {
 	event Event
 	addr  string
 	since time.Time
@@ -35,7 +35,7 @@
 func (w *watch) faulty(e Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults = append(w.faults, &fault{event: e, addr: w.fleet.addrs[e.Service][e.Worker], since: time.Now()})
+	w.faults = append(w.faults, &failure{event: e, addr: w.fleet.addrs[e.Service][e.Worker], since: time.Now()})
 }
 
 // run polls until ctx ends.
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -32,9 +32,13 @@
 	ledgerBytes = 16 << 20 // Of answers that are kept.
 )
 
-// assemble registers the parts. Peers call into members, the guard and the
-// release, which in turn use peers; the closures look their partner up when they
-// are called, so the order of construction does not matter.
+// part returns a part of the VM. Parts that use each other, such as peers and
+// members, look their partner up with it when they are called. The container that
+// a provider is given would refuse that as a circular dependency, as it remembers
+// who asked for whom.
+func part[T any](v *VM) T { return do.MustInvoke[T](v.parts) }
+
+// assemble registers the parts.
 func (v *VM) assemble(ctx context.Context) {
 	i := do.New()
 	v.parts = i
@@ -48,41 +52,41 @@
 	do.Provide(i, v.newPeer)
 	do.Provide(i, v.newMembers)
 	do.Provide(i, func(do.Injector) (*idem.Ledger, error) { return idem.NewLedger(ctx, ledgerKeys, ledgerBytes), nil })
-	do.Provide(i, func(i do.Injector) (*idem.Guard, error) { return v.newGuard(ctx, i) })
-	do.Provide(i, func(i do.Injector) (*deploy.Follower, error) { return v.newFollower(ctx, i) })
+	do.Provide(i, func(do.Injector) (*idem.Guard, error) { return v.newGuard(ctx) })
+	do.Provide(i, func(do.Injector) (*deploy.Follower, error) { return v.newFollower(ctx) })
 	do.Provide(i, v.newPublisher)
 	do.Provide(i, v.newAdmin)
-	v.health.flights = func() []board.Flight { return do.MustInvoke[*proxy.Handler](i).Flights() }
+	v.health.flights = func() []board.Flight { return part[*proxy.Handler](v).Flights() }
 	v.health.apply = func(service string, weights map[string]float64) {
-		do.MustInvoke[*proxy.Handler](i).SetWeights(service, weights)
+		part[*proxy.Handler](v).SetWeights(service, weights)
 	}
-	v.callers = v.newCallers(i)
+	v.callers = v.newCallers()
 	v.probes = newProbes(ctx, newProber(v.Alive, func(service, server string, ok bool, took time.Duration) {
-		_ = do.MustInvoke[*board.Board](i).Do(ctx, func(now time.Time) { v.health.probe(now, service, server, ok, took) })
+		_ = part[*board.Board](v).Do(ctx, func(now time.Time) { v.health.probe(now, service, server, ok, took) })
 	}))
 }
 
-func (v *VM) newProxy(i do.Injector) (*proxy.Handler, error) {
+func (v *VM) newProxy(do.Injector) (*proxy.Handler, error) {
 	return proxy.New(proxy.Options{
 		Zone:           v.settings.Zone,
 		Seed:           v.incarnation,
 		AnonymousRate:  v.settings.Limits.Rate,
 		AnonymousBurst: v.settings.Limits.Burst,
 		BodyTime:       v.settings.Limits.Read.Std(),
-		Sample:         func(s board.Sample) { do.MustInvoke[*board.Board](i).Post(s) },
+		Sample:         func(s board.Sample) { part[*board.Board](v).Post(s) },
 		Once: func(ctx context.Context, c idem.Call, run idem.Run) (*idem.Answer, error) {
-			return do.MustInvoke[*idem.Guard](i).Do(ctx, c, run)
+			return part[*idem.Guard](v).Do(ctx, c, run)
 		},
-		Metrics: do.MustInvoke[*metrics.Set](i),
+		Metrics: part[*metrics.Set](v),
 	}), nil
 }
 
-func (v *VM) newPeer(i do.Injector) (*peer.Peer, error) {
+func (v *VM) newPeer(do.Injector) (*peer.Peer, error) {
 	files, err := readPeerFiles(v.settings.Peer)
 	if err != nil {
 		return nil, err
 	}
-	members := func() *member.Service { return do.MustInvoke[*member.Service](i) }
+	members := func() *member.Service { return part[*member.Service](v) }
 	return peer.New(peer.Options{
 		Key:     []byte(v.settings.Peer.Secret),
 		CA:      files[0],
@@ -91,22 +95,22 @@
 		Self:    func() *wire.Member { return members().Record() },
 		Listen:  func() (net.Listener, error) { return v.listeners.peer, nil },
 		OnFetch: func(_ context.Context, f *wire.Fetch) (*wire.Chunks, error) {
-			head, chunks := do.MustInvoke[*deploy.Follower](i).Serve(f.GetDigests())
+			head, chunks := part[*deploy.Follower](v).Serve(f.GetDigests())
 			return &wire.Chunks{Head: head, Chunks: chunks}, nil
 		},
 		OnForward: func(ctx context.Context, f *wire.Forward) (*wire.Reply, error) {
-			return v.serveForward(ctx, i, f), nil
+			return v.serveForward(ctx, f), nil
 		},
 		OnHeartbeat: func(l *peer.Link, h *wire.Heartbeat) { members().OnHeartbeat(l, h) },
 		OnLink:      func(l *peer.Link, up bool) { members().OnLink(l, up) },
-		Metrics:     do.MustInvoke[*metrics.Set](i),
+		Metrics:     part[*metrics.Set](v),
 	})
 }
 
 // serveForward runs a request that another VM handed over as this VM owns its key.
-func (v *VM) serveForward(ctx context.Context, i do.Injector, f *wire.Forward) *wire.Reply {
-	guard := do.MustInvoke[*idem.Guard](i)
-	handler := do.MustInvoke[*proxy.Handler](i)
+func (v *VM) serveForward(ctx context.Context, f *wire.Forward) *wire.Reply {
+	guard := part[*idem.Guard](v)
+	handler := part[*proxy.Handler](v)
 	return guard.Serve(ctx, f, func(ctx context.Context) (*idem.Answer, error) {
 		return handler.Dispatch(ctx, idem.CallOf(f))
 	})
@@ -129,26 +133,26 @@
 	return out, nil
 }
 
-func (v *VM) newMembers(i do.Injector) (*member.Service, error) {
-	b := do.MustInvoke[*board.Board](i)
+func (v *VM) newMembers(do.Injector) (*member.Service, error) {
+	b := part[*board.Board](v)
 	return member.New(member.Options{
 		Self:  member.NewMember(v.settings.Name, v.incarnation, v.settings.Zone, v.PeerAddr(), v.EntryAddr()),
 		Seeds: v.settings.Peer.Seeds,
 		Link: func(ctx context.Context, addr string) (*peer.Link, error) {
-			return do.MustInvoke[*peer.Peer](i).Link(ctx, addr)
+			return part[*peer.Peer](v).Link(ctx, addr)
 		},
-		Hints:      do.MustInvoke[*store.Client](i).VMs,
+		Hints:      part[*store.Client](v).VMs,
 		Reports:    v.health.published,
-		Generation: func() uint64 { return do.MustInvoke[*deploy.Follower](i).Generation() },
+		Generation: func() uint64 { return part[*deploy.Follower](v).Generation() },
 		OnReports: func(reports []*wire.Report) {
 			_ = b.Do(context.Background(), func(now time.Time) { v.health.merge(now, reports) })
 		},
 		OnGeneration: func(addr string, generation uint64) {
-			do.MustInvoke[*deploy.Follower](i).Offer(addr, generation)
+			part[*deploy.Follower](v).Offer(addr, generation)
 		},
 		OnChange:   v.logMember,
 		OnReplaced: func() { v.Drain() },
-		Metrics:    do.MustInvoke[*metrics.Set](i),
+		Metrics:    part[*metrics.Set](v),
 	}), nil
 }
 
@@ -157,24 +161,24 @@
 		Stringer("before", c.From).Stringer("state", c.Member.State()).Msg("member changed state")
 }
 
-func (v *VM) newGuard(ctx context.Context, i do.Injector) (*idem.Guard, error) {
+func (v *VM) newGuard(ctx context.Context) (*idem.Guard, error) {
 	self := idem.NewOwner(v.incarnation, v.PeerAddr())
 	guard := idem.NewGuard(
 		idem.NewKeys([]byte(v.settings.Peer.Secret), self),
-		do.MustInvoke[*idem.Ledger](i),
-		idem.NewClaims(ctx, do.MustInvoke[*store.Client](i), self),
+		part[*idem.Ledger](v),
+		idem.NewClaims(ctx, part[*store.Client](v), self),
 	)
 	guard.Forward = func(ctx context.Context, addr string, f *wire.Forward) (*wire.Reply, error) {
-		return do.MustInvoke[*peer.Peer](i).Forward(ctx, addr, f)
+		return part[*peer.Peer](v).Forward(ctx, addr, f)
 	}
 	return guard, nil
 }
 
-func (v *VM) newFollower(ctx context.Context, i do.Injector) (*deploy.Follower, error) {
-	f := deploy.NewFollower(do.MustInvoke[*store.Client](i))
-	f.Apply = func(rel *note.Release) { v.applyRelease(ctx, i, rel) }
+func (v *VM) newFollower(ctx context.Context) (*deploy.Follower, error) {
+	f := deploy.NewFollower(part[*store.Client](v))
+	f.Apply = func(rel *note.Release) { v.applyRelease(ctx, rel) }
 	f.Fetch = func(ctx context.Context, addr string, digests [][]byte) (head []byte, chunks [][]byte, err error) {
-		reply, err := do.MustInvoke[*peer.Peer](i).Fetch(ctx, addr, &wire.Fetch{Digests: digests})
+		reply, err := part[*peer.Peer](v).Fetch(ctx, addr, &wire.Fetch{Digests: digests})
 		return reply.GetHead(), reply.GetChunks(), err
 	}
 	f.Rand = rand.Float64
@@ -183,17 +187,17 @@
 
 // applyRelease puts a release into effect: routes first, so that callers of new
 // routes are served, then the health decisions.
-func (v *VM) applyRelease(ctx context.Context, i do.Injector, rel *note.Release) {
+func (v *VM) applyRelease(ctx context.Context, rel *note.Release) {
 	local := localize(rel, v.settings.Name)
-	do.MustInvoke[*proxy.Handler](i).SetRelease(local)
-	_ = do.MustInvoke[*board.Board](i).Do(ctx, func(now time.Time) { v.health.setRelease(now, local) })
+	part[*proxy.Handler](v).SetRelease(local)
+	_ = part[*board.Board](v).Do(ctx, func(now time.Time) { v.health.setRelease(now, local) })
 	v.probes.set(local.Services())
 	v.log.Info().Uint64("generation", rel.Generation()).Msg("release in effect")
 }
 
-func (v *VM) newPublisher(i do.Injector) (*deploy.Publisher, error) {
-	p := deploy.NewPublisher(do.MustInvoke[*store.Client](i))
-	p.Current = do.MustInvoke[*deploy.Follower](i).Release
+func (v *VM) newPublisher(do.Injector) (*deploy.Publisher, error) {
+	p := deploy.NewPublisher(part[*store.Client](v))
+	p.Current = part[*deploy.Follower](v).Release
 	p.Rand = rand.Float64
 	return p, nil
 }
@@ -204,7 +208,7 @@
 	if err != nil {
 		return 0, err
 	}
-	generation, err := do.MustInvoke[*deploy.Publisher](v.parts).Publish(ctx, n)
+	generation, err := part[*deploy.Publisher](v).Publish(ctx, n)
 	if err != nil {
 		return 0, err
 	}
@@ -212,13 +216,13 @@
 	return generation, nil
 }
 
-func (v *VM) newAdmin(i do.Injector) (*operators, error) {
+func (v *VM) newAdmin(do.Injector) (*operators, error) {
 	return &operators{admin.New(admin.Options{
 		Token:   v.settings.Admin.Token,
 		Publish: v.publish,
 		Dump:    func(ctx context.Context) (any, error) { return v.Dump(ctx) },
 		Ready:   v.ready,
-		Gauges:  func(w http.ResponseWriter) { do.MustInvoke[*metrics.Set](i).WritePrometheus(w) },
+		Gauges:  func(w http.ResponseWriter) { part[*metrics.Set](v).WritePrometheus(w) },
 	})}, nil
 }
 
@@ -232,7 +236,7 @@
 	return nil
 }
 
-func (v *VM) newCallers(i do.Injector) *callers {
+func (v *VM) newCallers() *callers {
 	keys := idem.NewKeys([]byte(v.settings.Peer.Secret), idem.NewOwner(v.incarnation, v.PeerAddr()))
 	return &callers{
 		addresses: v.addresses,
@@ -241,6 +245,6 @@
 		},
 		ttl:   v.settings.Drain.TTL.Std(),
 		life:  idem.KeyLife,
-		proxy: do.MustInvoke[*proxy.Handler](i),
+		proxy: part[*proxy.Handler](v),
 	}
 }
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
 	"github.com/azuredeal/azuredeal/board"
@@ -39,7 +38,7 @@
 // Dump returns the state of the VM. It fails when the control loop does not
 // answer before ctx ends.
 func (v *VM) Dump(ctx context.Context) (*Dump, error) {
-	b := do.MustInvoke[*board.Board](v.parts)
+	b := part[*board.Board](v)
 	var health map[string][]ServerState
 	if err := b.Do(ctx, func(now time.Time) { health = v.health.dump(now) }); err != nil {
 		return nil, err
@@ -50,13 +49,13 @@
 		Incarnation: v.incarnation,
 		Generation:  v.Generation(),
 		Leaving:     v.callers.leaving.Load(),
-		Keys:        do.MustInvoke[*idem.Ledger](v.parts).Len(),
+		Keys:        part[*idem.Ledger](v).Len(),
 		Board:       BoardDump{Steps: b.Steps(), Dropped: b.Dropped()},
-		Release:     do.MustInvoke[*deploy.Follower](v.parts).Dump(),
-		Publisher:   do.MustInvoke[*deploy.Publisher](v.parts).Stats(),
-		Members:     do.MustInvoke[*member.Service](v.parts).Dump(),
+		Release:     part[*deploy.Follower](v).Dump(),
+		Publisher:   part[*deploy.Publisher](v).Stats(),
+		Members:     part[*member.Service](v).Dump(),
 		Health:      health,
-		Traffic:     do.MustInvoke[*proxy.Handler](v.parts).Dump(),
+		Traffic:     part[*proxy.Handler](v).Dump(),
 	}, nil
 }
 
@@ -66,7 +65,7 @@
 	if zone == "" {
 		zone = v.settings.Zone
 	}
-	snapshot := do.MustInvoke[*member.Service](v.parts).Snapshot()
+	snapshot := part[*member.Service](v).Snapshot()
 	zones := lo.SliceToMap(snapshot.Alive(), func(m member.Member) (string, string) { return m.Entry(), m.Zone() })
 	return lo.Map(snapshot.Entries(zone, v.settings.Name), func(addr string, _ int) Address {
 		return Address{Addr: addr, Zone: zones[addr]}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -112,10 +112,10 @@
 func (v *VM) PeerAddr() string { return v.settings.Peer.Addr }
 
 // Generation returns the generation of the release in effect, 0 before the first.
-func (v *VM) Generation() uint64 { return do.MustInvoke[*proxy.Handler](v.parts).Generation() }
+func (v *VM) Generation() uint64 { return part[*proxy.Handler](v).Generation() }
 
 // Alive returns how many VMs this one holds for alive, itself included.
-func (v *VM) Alive() int { return len(do.MustInvoke[*member.Service](v.parts).Snapshot().Alive()) }
+func (v *VM) Alive() int { return len(part[*member.Service](v).Snapshot().Alive()) }
 
 // Drain begins the graceful shutdown; Run returns when it is done.
 func (v *VM) Drain() { v.drainOnce.Do(func() { close(v.drain) }) }
@@ -127,10 +127,10 @@
 	work, stop := context.WithCancel(ctx)
 	defer stop()
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return do.MustInvoke[*board.Board](v.parts).Run(work) })
-	group.Go(func() error { return do.MustInvoke[*peer.Peer](v.parts).Run(work) })
-	group.Go(func() error { return do.MustInvoke[*member.Service](v.parts).Run(work) })
-	group.Go(func() error { return do.MustInvoke[*deploy.Follower](v.parts).Run(work) })
+	group.Go(func() error { return part[*board.Board](v).Run(work) })
+	group.Go(func() error { return part[*peer.Peer](v).Run(work) })
+	group.Go(func() error { return part[*member.Service](v).Run(work) })
+	group.Go(func() error { return part[*deploy.Follower](v).Run(work) })
 	group.Go(func() error { return v.watchHolders(work) })
 	group.Go(func() error { return v.serveOperators(work) })
 	group.Go(func() error {
@@ -140,7 +140,7 @@
 	v.log.Info().Str("entry", v.EntryAddr()).Str("admin", v.AdminAddr()).Str("peer", v.PeerAddr()).
 		Uint64("incarnation", v.incarnation).Msg("entry VM started")
 	err := group.Wait()
-	do.MustInvoke[*proxy.Handler](v.parts).Close()
+	part[*proxy.Handler](v).Close()
 	v.log.Info().Err(err).Msg("entry VM stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
 	"github.com/azuredeal/azuredeal/deploy"
@@ -49,12 +48,12 @@
 // a watch, since the platform counts each waiting watch as a call.
 func (v *VM) watchHolders(ctx context.Context) error {
 	for {
-		snapshot := do.MustInvoke[*member.Service](v.parts).Snapshot()
+		snapshot := part[*member.Service](v).Snapshot()
 		zone := lo.FilterMap(snapshot.Alive(), func(m member.Member, _ int) (string, bool) {
 			return m.ID(), m.Zone() == v.settings.Zone
 		})
 		chosen := deploy.WatchHolders(v.settings.Zone, zone, deploy.MaxHolders)
-		do.MustInvoke[*deploy.Follower](v.parts).SetWatch(slices.Contains(chosen, v.settings.Name))
+		part[*deploy.Follower](v).SetWatch(slices.Contains(chosen, v.settings.Name))
 		if !pause(ctx, holdersCheck) {
 			return ctx.Err()
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	stdlog "log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/samber/do/v2"
+	"github.com/rs/zerolog"
 	"github.com/samber/lo"
 	"golang.org/x/net/netutil"
 
@@ -26,7 +25,7 @@
 )
 
 // newServer returns a server with the limits for callers. Its own log lines are
-// dropped: they would be one for each caller that leaves early.
+// at level debug, as it writes one for each TLS handshake that fails.
 func (v *VM) newServer(ctx context.Context, handler http.Handler) *http.Server {
 	limits := v.settings.Limits
 	server := &http.Server{
@@ -34,7 +33,7 @@
 		ReadHeaderTimeout: limits.Read.Std(),
 		IdleTimeout:       limits.Idle.Std(),
 		MaxHeaderBytes:    limits.Header,
-		ErrorLog:          stdlog.New(io.Discard, "", 0),
+		ErrorLog:          stdlog.New(v.log.Level(zerolog.DebugLevel), "", 0),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Protocols:         new(http.Protocols),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: streams},
@@ -89,7 +88,7 @@
 func (v *VM) leave(ctx context.Context, server *http.Server) {
 	v.log.Info().Stringer("ttl", v.settings.Drain.TTL.Std()).Msg("leaving")
 	v.callers.leaving.Store(true)
-	do.MustInvoke[*member.Service](v.parts).Leave()
+	part[*member.Service](v).Leave()
 	if !pause(ctx, v.settings.Drain.TTL.Std()) {
 		return
 	}
@@ -102,7 +101,7 @@
 
 // settle waits for requests that other VMs have forwarded here.
 func (v *VM) settle(ctx context.Context) {
-	handler := do.MustInvoke[*proxy.Handler](v.parts)
+	handler := part[*proxy.Handler](v)
 	busy := func() bool {
 		return lo.SomeBy(handler.Flights(), func(f board.Flight) bool { return f.Count > 0 })
 	}
@@ -115,7 +114,7 @@
 type operators struct{ http.Handler }
 
 func (v *VM) serveOperators(ctx context.Context) error {
-	server := v.newServer(ctx, do.MustInvoke[*operators](v.parts).Handler)
+	server := v.newServer(ctx, part[*operators](v).Handler)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(v.listeners.admin); !errors.Is(err, http.ErrServerClosed) {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -91,8 +91,8 @@
 	if !d.launch(false) {
 		return nil, d.settle(fault.New(fault.NoServer, "service %s", d.call.service.note.Name))
 	}
-	hedge, stop := d.hedgeTimer()
-	defer stop()
+	hedge := d.hedgeTimer()
+	defer hedge.Stop()
 	for {
 		select {
 		case r := <-d.results:
@@ -103,11 +103,8 @@
 				}
 				return p, err
 			}
-		case <-hedge:
-			hedge = nil
-			if d.pending == 1 && d.spend() && d.launch(false) {
-				d.call.service.count.hedges.Inc()
-			}
+		case <-hedge.C:
+			d.hedge(hedge)
 		case <-d.ctx.Done():
 			if p := d.takeSpare(); p != nil {
 				winner = p.index
@@ -324,11 +321,29 @@
 	}(d.pending)
 }
 
-// hedgeTimer returns a channel that says when to send a hedge, nil for never.
-func (d *dispatch) hedgeTimer() (<-chan time.Time, func() bool) {
+// hedgeTimer returns a timer that says when to send a hedge; it never fires for a
+// call that is not hedged.
+func (d *dispatch) hedgeTimer() *time.Timer {
 	if d.recent == nil {
-		return nil, func() bool { return false }
+		timer := time.NewTimer(0)
+		timer.Stop()
+		return timer
+	}
+	return time.NewTimer(d.recent.delay(time.Until(d.call.deadline)))
+}
+
+// hedge sends one hedge. When the budget is spent it tries again later: an attempt
+// at a stalled server would otherwise wait for its deadline, although the budget
+// has grown again long before.
+func (d *dispatch) hedge(timer *time.Timer) {
+	if d.pending != 1 || len(d.tried) > 1 {
+		return
+	}
+	if !d.spend() {
+		timer.Reset(d.recent.delay(time.Until(d.call.deadline)))
+		return
+	}
+	if d.launch(false) {
+		d.call.service.count.hedges.Inc()
 	}
-	timer := time.NewTimer(d.recent.delay(time.Until(d.call.deadline)))
-	return timer.C, timer.Stop
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -171,6 +171,8 @@
 	defer func() { <-s.slots }()
 	b, id := s.begin(r)
 	if !sleep(ctx, s.duration(b)) {
+		// Returning without a status would end as an empty answer with status 200.
+		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 		return
 	}
 	s.answer(w, r, b, id, body)
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -61,7 +61,11 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		start := time.Now()
-		s.Handler().ServeHTTP(httptest.NewRecorder(), request(http.MethodPost, "k").WithContext(ctx))
+		rec = httptest.NewRecorder()
+		s.Handler().ServeHTTP(rec, request(http.MethodPost, "k").WithContext(ctx))
+		if rec.Code != http.StatusGatewayTimeout {
+			t.Errorf("status = %d after the deadline, want 504", rec.Code)
+		}
 		if took := time.Since(start); took != time.Minute {
 			t.Errorf("request ended after %v, want the caller's minute", took)
 		}
