member: the membership view and the service that drives it

View is pure code: records with precedence, refutation, suspicion after a question to the fleet, one-way links, spread of changed records with bounded repeats, choice of eight peers, dials. Service drives it over links of peer.

--- /dev/null
+++ b/member/choose.go
@@ -0,0 +1,106 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// peersPerVM is how many peers a VM links to. Peers that chose this VM come on
+// top; the choices are symmetric where possible, so these are few.
+const peersPerVM = 8
+
+// Peers returns the members that this VM links to.
+func (v *View) Peers() []Member {
+	out := make([]Member, len(v.chosen))
+	for i, r := range v.chosen {
+		out[i] = r.Member
+	}
+	return out
+}
+
+// choose picks the peers anew when the view has changed: the neighbours on the
+// ring, one in each other zone, and the rest by rendezvous hash.
+func (v *View) choose(now time.Time) {
+	for _, r := range v.ring {
+		if !r.avoid.IsZero() && !now.Before(r.avoid) {
+			r.avoid = time.Time{}
+			v.rechoose = true
+		}
+	}
+	if !v.rechoose {
+		return
+	}
+	v.rechoose = false
+	for _, r := range v.chosen {
+		r.chosen = false
+	}
+	v.chosen = v.chosen[:0]
+	v.chooseNeighbours()
+	v.chooseZones()
+	for len(v.chosen) < peersPerVM {
+		r := v.best(func(*record) bool { return true })
+		if r == nil {
+			break
+		}
+		v.pick(r)
+	}
+}
+
+func (v *View) pick(r *record) {
+	r.chosen = true
+	v.chosen = append(v.chosen, r)
+}
+
+// canChoose leaves out this VM, members that are gone, chosen ones and those
+// that are avoided after a one-way cut.
+func (v *View) canChoose(r *record) bool {
+	return r != v.self && r.state != Gone && !r.chosen && r.avoid.IsZero() && r.peer != ""
+}
+
+func (v *View) chooseNeighbours() {
+	at, _ := slices.BinarySearchFunc(v.ring, v.self, compareRing)
+	n := len(v.ring)
+	for _, step := range []int{1, n - 1} {
+		for i := (at + step) % n; i != at; i = (i + step) % n {
+			if r := v.ring[i]; v.canChoose(r) {
+				v.pick(r)
+				break
+			}
+		}
+	}
+}
+
+func (v *View) chooseZones() {
+	zones := map[string]bool{}
+	for _, r := range v.ring {
+		if v.canChoose(r) && r.zone != v.self.zone {
+			zones[r.zone] = true
+		}
+	}
+	for _, r := range v.chosen {
+		delete(zones, r.zone)
+	}
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		if len(v.chosen) >= peersPerVM {
+			return
+		}
+		v.pick(v.best(func(r *record) bool { return r.zone == zone }))
+	}
+}
+
+// best returns the candidate with the highest rendezvous hash, or nil. The hash
+// of a pair is the same on both VMs, so that they often choose each other.
+func (v *View) best(match func(r *record) bool) *record {
+	var best *record
+	var top uint64
+	for _, r := range v.ring {
+		if !v.canChoose(r) || !match(r) {
+			continue
+		}
+		if h := mix(r.hash ^ v.self.hash); best == nil || h > top {
+			best, top = r, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/member/fleet_test.go
@@ -0,0 +1,378 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/azuredeal/azuredeal/peer"
+	"github.com/azuredeal/azuredeal/store"
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+// inBubble runs fn under a paused clock. yamux keeps timers in a global pool,
+// and a timer must not move between bubbles; two collections empty the pool.
+func inBubble(t *testing.T, fn func(t *testing.T)) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+	synctest.Test(t, fn)
+	runtime.GC()
+	runtime.GC()
+}
+
+// network connects VMs by net.Pipe. A direction between two VMs can be cut: what
+// is sent then waits, as in TCP, and new connections do not come about.
+type network struct {
+	direct bool // No cuts: connections are plain pipes.
+
+	mu        sync.Mutex
+	listeners map[string]*listener
+	cuts      map[[2]string]chan struct{} // Closed when the direction is mended.
+	conns     []net.Conn
+}
+
+type listener struct {
+	addr  string
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l *listener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *listener) Addr() net.Addr { return &net.UnixAddr{Name: l.addr} }
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, cuts: map[[2]string]chan struct{}{}}
+}
+
+func (n *network) listen(addr string) (net.Listener, error) {
+	l := &listener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[addr] = l
+	return l, nil
+}
+
+func (n *network) cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts[[2]string{from, to}] == nil {
+		n.cuts[[2]string{from, to}] = make(chan struct{})
+	}
+}
+
+func (n *network) mend(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.cuts[[2]string{from, to}]; c != nil {
+		close(c)
+		delete(n.cuts, [2]string{from, to})
+	}
+}
+
+func (n *network) cutBy(from, to string) chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cuts[[2]string{from, to}]
+}
+
+func (n *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	if n.cutBy(from, to) != nil || n.cutBy(to, from) != nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	l := n.listeners[to]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	if !n.direct {
+		midNear, midFar := near, far
+		near, midNear = net.Pipe()
+		midFar, far = net.Pipe()
+		go n.pump(from, to, midNear, midFar)
+		go n.pump(to, from, midFar, midNear)
+	}
+	n.mu.Lock()
+	n.conns = append(n.conns, near, far)
+	n.mu.Unlock()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.done:
+		_, _ = near.Close(), far.Close()
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		_, _ = near.Close(), far.Close()
+		return nil, ctx.Err()
+	}
+}
+
+const socketBuffer = 1024 // Chunks that the network holds for one direction.
+
+// pump carries one direction of a connection.
+func (n *network) pump(from, to string, in, out net.Conn) {
+	chunks := make(chan []byte, socketBuffer)
+	go func() {
+		defer close(chunks)
+		for {
+			b := make([]byte, 4096)
+			k, err := in.Read(b)
+			if err != nil {
+				return
+			}
+			chunks <- b[:k]
+		}
+	}()
+	for {
+		b, ok := <-chunks
+		if c := n.cutBy(from, to); c != nil {
+			<-c
+		}
+		if !ok {
+			break
+		}
+		if _, err := out.Write(b); err != nil {
+			break
+		}
+	}
+	_ = out.Close()
+	for range chunks { // Until the sender closes too.
+	}
+}
+
+// close ends every connection, also across cuts.
+func (n *network) close() {
+	n.mu.Lock()
+	conns := n.conns
+	cuts := n.cuts
+	n.cuts = map[[2]string]chan struct{}{}
+	n.mu.Unlock()
+	for _, c := range cuts {
+		close(c)
+	}
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// vm is one entry VM of a test fleet.
+type vm struct {
+	id      string
+	svc     *Service
+	metrics *metrics.Set
+	cancel  context.CancelFunc
+	done    chan struct{}
+
+	mu      sync.Mutex
+	changes []Change
+	held    chan struct{} // Closed when the VM resumes.
+}
+
+// fleet is a set of VMs in one process.
+type fleet struct {
+	t     testing.TB
+	net   *network
+	vms   []*vm
+	zones int
+	hints func(ctx context.Context) ([]store.VM, error)
+	each  func(o *Options) // Changes the options of each VM.
+}
+
+func newFleet(t testing.TB, zones int) *fleet {
+	f := &fleet{t: t, net: newNetwork(), zones: zones}
+	t.Cleanup(f.close)
+	return f
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		v.resume()
+		v.cancel()
+	}
+	f.net.close()
+	for _, v := range f.vms {
+		<-v.done
+	}
+}
+
+func vmID(i int) string { return fmt.Sprintf("vm%04d", i) }
+
+var fleetKey = []byte("0123456789abcdef0123456789abcdef")
+
+// start adds a VM; an id that exists already is replaced by a new process.
+func (f *fleet) start(i int, incarnation uint64) *vm {
+	id := vmID(i)
+	v := &vm{id: id, metrics: metrics.NewSet(), done: make(chan struct{})}
+	var p *peer.Peer
+	o := Options{
+		Self:    NewMember(id, incarnation, fmt.Sprintf("z%d", i%f.zones), id, "entry-"+id),
+		Seeds:   []string{vmID(0), vmID(1), vmID(2)},
+		Seed:    uint64(i + 1),
+		Link:    func(ctx context.Context, addr string) (*peer.Link, error) { return p.Link(ctx, addr) },
+		Hints:   f.hints,
+		Metrics: v.metrics,
+		OnChange: func(c Change) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			v.changes = append(v.changes, c)
+		},
+	}
+	if f.each != nil {
+		f.each(&o)
+	}
+	v.svc = New(o)
+	v.svc.gate = v.wait
+	p, err := peer.New(peer.Options{
+		Key:         fleetKey,
+		Self:        v.svc.Record,
+		Listen:      func() (net.Listener, error) { return f.net.listen(id) },
+		Dial:        func(ctx context.Context, addr string) (net.Conn, error) { return f.net.dial(ctx, id, addr) },
+		OnHeartbeat: v.svc.OnHeartbeat,
+		OnLink:      v.svc.OnLink,
+		Metrics:     v.metrics,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	var work sync.WaitGroup
+	work.Go(func() { _ = p.Run(ctx) })
+	work.Go(func() { _ = v.svc.Run(ctx) })
+	go func() {
+		work.Wait()
+		close(v.done)
+	}()
+	f.vms = append(f.vms, v)
+	return v
+}
+
+// startAll starts n VMs and waits until they know each other.
+func (f *fleet) startAll(n int) {
+	for i := range n {
+		f.start(i, 1)
+	}
+	f.waitFor("all VMs alive in all views", 30*time.Second, func() bool {
+		for _, v := range f.vms {
+			if len(v.svc.Snapshot().Alive()) != n {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(5 * time.Second) // Links settle.
+}
+
+// kill takes a VM off the network: nothing it sends arrives any more, not even
+// the end of its connections.
+func (f *fleet) kill(v *vm) {
+	for _, o := range f.vms {
+		if o.id != v.id {
+			f.net.cut(v.id, o.id)
+			f.net.cut(o.id, v.id)
+		}
+	}
+	f.net.mu.Lock()
+	delete(f.net.listeners, v.id)
+	f.net.mu.Unlock()
+	v.cancel()
+}
+
+// pause stops all of a VM's own steps until resume.
+func (v *vm) pause() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.held = make(chan struct{})
+}
+
+func (v *vm) resume() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.held != nil {
+		close(v.held)
+		v.held = nil
+	}
+}
+
+func (v *vm) wait() {
+	v.mu.Lock()
+	held := v.held
+	v.mu.Unlock()
+	if held != nil {
+		<-held
+	}
+}
+
+// holds returns the state of a member in this VM's view.
+func (v *vm) holds(id string) State {
+	for _, m := range v.svc.Snapshot().Members() {
+		if m.ID() == id {
+			return m.State()
+		}
+	}
+	return Unknown
+}
+
+// falseStates returns the changes of other members to Suspect or Gone.
+func (v *vm) falseStates() []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []Change
+	for _, c := range v.changes {
+		if c.Member.State() == Suspect || c.Member.State() == Gone {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (f *fleet) waitFor(what string, limit time.Duration, ok func() bool) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) >= limit {
+			f.t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// allHold reports whether every VM but the members themselves holds them in one
+// of the states.
+func (f *fleet) allHold(vms []*vm, ids []string, states ...State) bool {
+	for _, v := range vms {
+		for _, id := range ids {
+			ok := v.id == id
+			for _, s := range states {
+				ok = ok || v.holds(id) == s
+			}
+			if !ok {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+var _ = wire.State_STATE_ALIVE
--- /dev/null
+++ b/member/link.go
@@ -0,0 +1,243 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+// LinkID identifies a link of a view.
+type LinkID uint64
+
+const (
+	// closeAfter is the silence after which a link is given up and dialed anew.
+	closeAfter = goneAfter
+	// lingerFor is how long a link that is no longer chosen stays open.
+	lingerFor = 10 * time.Second
+	// steadyAfter is the life of a link after which its address is dialed again
+	// without a pause. A peer that refuses links ends them at once.
+	steadyAfter = 5 * time.Second
+	// resendAfter is how long a record waits for the peer to confirm the
+	// heartbeat that carried it.
+	resendAfter = 2 * time.Second
+)
+
+// link is what the view knows about one link.
+type link struct {
+	id          LinkID
+	remote      string
+	incarnation uint64
+	dialed      string // Address that this VM dialed; empty when the peer did.
+	up          time.Time
+	seq         uint64    // Last heartbeat sent.
+	heard       uint64    // Last heartbeat received.
+	heardAt     time.Time // When that was; the start of the link before the first.
+	deaf        bool      // Others hear the peer and this VM does not.
+	mute        bool      // The peer says that it does not hear this VM.
+	due         time.Time // When the next heartbeat is due.
+	unwanted    time.Time // Since when the peer is not chosen; zero when it is.
+	pending     []*item   // Records to send or to be confirmed, in order.
+	index       map[*record]*item
+	answers     []Member // Records of forgotten members, sent once.
+	syncing     bool     // A full sync is under way.
+	cursor      uint64   // Ring position that the sync has reached.
+	beats       int      // Heartbeats since the last slice for repair.
+	reports     reportQueue
+}
+
+// item is a record that waits on a link.
+type item struct {
+	record   *record
+	question bool
+	tries    int
+	seq      uint64 // Heartbeat that carried it last; 0 before the first.
+	at       time.Time
+	done     bool
+}
+
+func (l *link) oneWay() bool { return l.deaf || l.mute }
+
+// queue adds r to what the link has to send, soon.
+func (l *link) queue(now time.Time, r *record, question bool) {
+	l.due = now
+	if it := l.index[r]; it != nil {
+		if question && !it.question {
+			return // The record itself is on its way and says more.
+		}
+		it.done = true
+	}
+	it := &item{record: r, question: question}
+	l.index[r] = it
+	l.pending = append(l.pending, it)
+}
+
+// known notes that the peer holds the record as it is here.
+func (l *link) known(r *record) {
+	if it := l.index[r]; it != nil && !it.question {
+		l.drop(r)
+	}
+}
+
+func (l *link) drop(r *record) {
+	if it := l.index[r]; it != nil {
+		it.done = true
+		delete(l.index, r)
+	}
+}
+
+// confirmed drops what heartbeats up to seq carried.
+func (l *link) confirmed(seq uint64) {
+	for _, it := range l.pending {
+		if !it.done && it.seq != 0 && it.seq <= seq {
+			l.drop(it.record)
+		}
+	}
+}
+
+func (l *link) resumed(now time.Time) {
+	l.heardAt = now
+	l.deaf, l.mute = false, false
+}
+
+// LinkUp registers a link after Hello. remote is the peer's own record, dialed
+// the address that this VM dialed or "" when the peer did. It returns 0 when the
+// link is refused and must be closed.
+func (v *View) LinkUp(now time.Time, remote *wire.Member, dialed string) LinkID {
+	v.advance(now)
+	m, ok := fromWire(remote)
+	if !ok || m.id == v.self.id || len(v.links) >= maxLinks {
+		if ok && m.id == v.self.id && m.incarnation > v.self.incarnation {
+			v.replaced = true
+		}
+		v.DialFailed(now, dialed)
+		return 0
+	}
+	if t := v.targets[dialed]; t != nil {
+		t.busy = false
+	}
+	known := v.members[m.id]
+	fresh := known == nil || known.state == Gone || known.incarnation < m.incarnation
+	v.lastLink++
+	l := &link{
+		id: v.lastLink, remote: m.id, incarnation: m.incarnation, dialed: dialed,
+		up: now, heardAt: now, due: now, index: map[*record]*item{},
+	}
+	v.links = append(v.links, l)
+	v.merge(now, l, m)
+	// Links between VMs that already know each other start without a full sync:
+	// changes reach both by other links, and slices repair the rest.
+	l.syncing = fresh || now.Sub(v.started) < lingerFor
+	return l.id
+}
+
+// LinkDown removes a link that has ended.
+func (v *View) LinkDown(now time.Time, id LinkID) {
+	v.advance(now)
+	l := v.link(id)
+	if l == nil {
+		return
+	}
+	v.links = slices.DeleteFunc(v.links, func(o *link) bool { return o == l })
+	if now.Sub(l.up) < steadyAfter {
+		v.DialFailed(now, l.dialed)
+	} else {
+		delete(v.targets, l.dialed)
+	}
+}
+
+func (v *View) link(id LinkID) *link {
+	for _, l := range v.links {
+		if l.id == id {
+			return l
+		}
+	}
+	return nil
+}
+
+// linkTo returns the newest link to the current incarnation of r, or nil.
+func (v *View) linkTo(r *record) *link {
+	for _, l := range slices.Backward(v.links) {
+		if l.remote == r.id && l.incarnation == r.incarnation {
+			return l
+		}
+	}
+	return nil
+}
+
+// heardOn notes a heartbeat and what it says about the other direction.
+func (v *View) heardOn(now time.Time, l *link, h *wire.Heartbeat) {
+	l.heard = max(l.heard, h.GetSeq())
+	l.heardAt = now
+	l.deaf = false
+	l.confirmed(h.GetHeard())
+	silence := time.Duration(h.GetSilence()) * time.Millisecond
+	wasOneWay := l.oneWay()
+	l.mute = silence >= suspectAfter
+	r := v.members[l.remote]
+	if r == nil || r.incarnation != l.incarnation {
+		return
+	}
+	r.heard = now
+	if l.mute && !wasOneWay {
+		v.markOneWay(now, r)
+	}
+}
+
+// markOneWay keeps this VM from choosing the peer for a while, so that records
+// and reports travel around the cut.
+func (v *View) markOneWay(now time.Time, r *record) {
+	v.stats.OneWay++
+	r.avoid = now.Add(avoidFor)
+	v.rechoose = true
+}
+
+// judgeLinks marks links on which a peer is silent that others hear.
+func (v *View) judgeLinks(now time.Time) {
+	for _, l := range v.links {
+		r := v.members[l.remote]
+		if l.deaf || r == nil || r.incarnation != l.incarnation || now.Sub(l.heardAt) < suspectAfter {
+			continue
+		}
+		if r.provedAfter(l.heardAt) || r.heard.Sub(l.heardAt) >= doubtAfter {
+			wasOneWay := l.oneWay()
+			l.deaf = true
+			if !wasOneWay {
+				v.markOneWay(now, r)
+			}
+		}
+	}
+}
+
+// closing returns the links to give up: silent ones, those that are no longer
+// chosen, and all but the newest of several to one peer.
+func (v *View) closing(now time.Time) []LinkID {
+	var out []LinkID
+	for i, l := range v.links {
+		r := v.members[l.remote]
+		if r != nil && r.chosen {
+			l.unwanted = time.Time{}
+		} else if l.unwanted.IsZero() {
+			l.unwanted = now
+		}
+		switch {
+		case now.Sub(l.heardAt) >= closeAfter,
+			l.dialed != "" && !l.unwanted.IsZero() && now.Sub(l.unwanted) >= lingerFor,
+			v.isSpare(l, v.links[i+1:]):
+			out = append(out, l.id)
+		}
+	}
+	return out
+}
+
+// isSpare reports whether a newer link to the same peer makes l unneeded. Only
+// the VM with the higher ring position closes it, so that the two do not close
+// one each.
+func (v *View) isSpare(l *link, newer []*link) bool {
+	if v.self.hash < hashID(l.remote) {
+		return false
+	}
+	return slices.ContainsFunc(newer, func(o *link) bool {
+		return o.remote == l.remote && o.incarnation == l.incarnation && o.heard > 0
+	})
+}
--- /dev/null
+++ b/member/merge.go
@@ -0,0 +1,124 @@
+package member
+
+import "time"
+
+// merge takes in one record from a link.
+func (v *View) merge(now time.Time, l *link, m Member) {
+	if m.id == v.self.id {
+		v.mergeSelf(now, l, m)
+		return
+	}
+	r := v.members[m.id]
+	switch {
+	case r == nil:
+		v.mergeNew(now, l, m)
+	case m.state == Unknown:
+		v.mergeQuestion(now, l, r, m)
+	case m.compare(r.Member) < 0:
+		v.stats.Outdated++
+		l.queue(now, r, false)
+	case m.compare(r.Member) == 0:
+		l.known(r)
+	case m.compareVersion(r.Member) > 0:
+		v.mergeNewer(now, l, r, m)
+	default:
+		v.mergeWorse(now, l, r, m)
+	}
+}
+
+// mergeSelf answers a record of this VM itself. A suspicion or a question about
+// the current version is refuted by raising the version.
+func (v *View) mergeSelf(now time.Time, l *link, m Member) {
+	self := v.self
+	switch {
+	case m.incarnation > self.incarnation:
+		v.replaced = true
+	case m.compareVersion(self.Member) < 0:
+		v.stats.Outdated++
+		l.queue(now, self, false)
+	case m.version == self.version && m.state == self.state:
+		l.known(self)
+	case !v.replaced:
+		self.version = m.version
+		v.stats.Refutations++
+		v.raise(now, self.state)
+	}
+}
+
+// mergeNew takes in a record of a member that the view does not hold.
+func (v *View) mergeNew(now time.Time, l *link, m Member) {
+	g, buried := v.graves[m.id]
+	old := Member{id: m.id, incarnation: g.incarnation, version: g.version, state: Gone}
+	switch {
+	case m.state == Unknown:
+	case m.state == Gone:
+		if !buried || m.compareVersion(old) > 0 {
+			v.bury(now, m)
+		}
+	case buried && m.compareVersion(old) <= 0:
+		v.stats.Outdated++
+		l.answers = append(l.answers, old)
+	case len(v.members) < maxMembers:
+		delete(v.graves, m.id)
+		v.spread(now, v.insert(now, m), l.id)
+	}
+}
+
+// mergeQuestion passes on the question whether anybody hears a member. A VM that
+// hears it passes the question to the member alone, whose answer spreads.
+func (v *View) mergeQuestion(now time.Time, l *link, r *record, m Member) {
+	switch c := m.compareVersion(r.Member); {
+	case c < 0:
+		l.queue(now, r, false)
+	case c > 0 || r.state == Gone:
+		// The answer travels with the newer record, or there will be none.
+	case now.Sub(r.heard) < doubtAfter:
+		for _, o := range v.links {
+			if o.remote == r.id && !o.oneWay() {
+				o.queue(now, r, true)
+			}
+		}
+	default:
+		v.ask(now, r, l.id)
+	}
+}
+
+// ask spreads the question whether anybody hears r, once for each version.
+func (v *View) ask(now time.Time, r *record, from LinkID) {
+	if r.doubted == r.version {
+		return
+	}
+	r.doubted = r.version
+	for _, l := range v.links {
+		if l.id != from {
+			l.queue(now, r, true)
+		}
+	}
+}
+
+// mergeNewer takes in a record with a higher incarnation or version.
+func (v *View) mergeNewer(now time.Time, l *link, r *record, m Member) {
+	if m.incarnation != r.incarnation {
+		r.heard = time.Time{}
+		r.doubted = 0
+		r.avoid = time.Time{}
+	}
+	if m.runs() {
+		r.proof = now
+	}
+	v.update(now, r, m, l.id)
+}
+
+// mergeWorse takes in a worse state of the same version. A member that is gone
+// elsewhere and alive here was most likely on this side of a partition: it gets
+// time to refute, so that the end of a partition takes no running VM out of use.
+func (v *View) mergeWorse(now time.Time, l *link, r *record, m Member) {
+	if r.state != Alive || m.state != Gone {
+		v.update(now, r, m, l.id)
+		return
+	}
+	if r.accused.IsZero() {
+		r.accused = now
+	}
+	v.mergeQuestion(now, l, r, m)
+}
--- /dev/null
+++ b/member/report.go
@@ -0,0 +1,196 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+const (
+	// reportAge is the age above which a report is neither passed on nor taken.
+	// It bounds how far a report travels.
+	reportAge = 5 * time.Second
+	// reportStep is the least difference in time of two reports of one VM on one
+	// server. The age of one report differs a little between paths.
+	reportStep = 200 * time.Millisecond
+	// ordinaryEvery is how often a report that shows nothing wrong is sent.
+	ordinaryEvery = 2 * time.Second
+	// relayLinks is to how many links a report of another VM is passed on. All
+	// links would carry each report about ten times to every VM.
+	relayLinks = 3
+	// reportBytes bounds the reports of one heartbeat, reportRate those of this
+	// VM on all links in bytes/s: control work is allowed 15 KB/s in all.
+	reportBytes = 8 << 10
+	reportRate  = 5 << 10
+	reportBurst = 10 << 10
+
+	maxReports = 8192 // Reports that are kept.
+	maxQueue   = 512  // Reports that wait on one link.
+)
+
+type reportKey struct {
+	origin          uint64
+	service, server string
+}
+
+// reportEntry is the newest report of one VM on one server.
+type reportEntry struct {
+	report *wire.Report
+	at     time.Time // When the evidence was gathered, by this VM's clock.
+	sent   time.Time // When an own report was queued last.
+}
+
+// isUrgent reports whether the report shows something wrong.
+func (e *reportEntry) isUrgent() bool {
+	r := e.report
+	return r.GetBad() > 0 || r.GetStalled() > 0 || r.GetUnreachable() > 0 ||
+		r.GetCondition() > wire.Condition_CONDITION_NORMAL
+}
+
+type reportTable struct {
+	entries map[reportKey]*reportEntry
+	fresh   []*wire.Report // Taken in since TakeReports.
+	tokens  float64        // Bytes that may be sent.
+	filled  time.Time
+	swept   time.Time
+}
+
+func (t *reportTable) init() {
+	t.entries = map[reportKey]*reportEntry{}
+	t.tokens = reportBurst
+}
+
+func keyOf(r *wire.Report) reportKey {
+	return reportKey{origin: r.GetOrigin(), service: r.GetService(), server: r.GetServer()}
+}
+
+// put stores a report that is newer than the one held, and returns nil otherwise.
+func (t *reportTable) put(now, at time.Time, r *wire.Report) *reportEntry {
+	if now.Sub(t.swept) >= reportAge {
+		t.swept = now
+		for k, e := range t.entries {
+			if now.Sub(e.at) > reportAge {
+				delete(t.entries, k)
+			}
+		}
+	}
+	k := keyOf(r)
+	e := t.entries[k]
+	if e != nil && at.Sub(e.at) < reportStep {
+		return nil
+	}
+	if e == nil {
+		if len(t.entries) >= maxReports {
+			return nil
+		}
+		e = &reportEntry{}
+		t.entries[k] = e
+	}
+	e.report, e.at = r, at
+	return e
+}
+
+// reportQueue holds what waits on one link, oldest first.
+type reportQueue []*reportEntry
+
+func (q *reportQueue) add(e *reportEntry) {
+	if slices.Contains(*q, e) {
+		return
+	}
+	if len(*q) >= maxQueue {
+		*q = slices.Delete(*q, 0, 1)
+	}
+	*q = append(*q, e)
+}
+
+// Report takes this VM's own reports and queues them on all links. The driver
+// calls it at the interval of heartbeats.
+func (v *View) Report(now time.Time, reports []*wire.Report) {
+	for _, r := range reports {
+		r = proto.CloneOf(r)
+		r.Origin = v.self.incarnation
+		at := now.Add(-time.Duration(r.GetAge()) * time.Millisecond)
+		e := v.reports.put(now, at, r)
+		if e == nil || (!e.isUrgent() && now.Sub(e.sent) < ordinaryEvery) {
+			continue
+		}
+		e.sent = now
+		for _, l := range v.links {
+			l.reports.add(e)
+		}
+	}
+}
+
+// TakeReports returns the reports of other VMs since the last call, with their
+// age as of their arrival.
+func (v *View) TakeReports() []*wire.Report {
+	out := v.reports.fresh
+	v.reports.fresh = nil
+	return out
+}
+
+func (v *View) takeReports(now time.Time, from *link, reports []*wire.Report) {
+	for _, r := range reports {
+		age := time.Duration(r.GetAge()) * time.Millisecond
+		if r.GetOrigin() == v.self.incarnation || age > reportAge {
+			continue
+		}
+		e := v.reports.put(now, now.Add(-age), r)
+		if e == nil {
+			continue
+		}
+		v.reports.fresh = append(v.reports.fresh, r)
+		v.relay(e, from)
+	}
+}
+
+// relay queues a report of another VM on a few links that work.
+func (v *View) relay(e *reportEntry, from *link) {
+	left := relayLinks
+	start := v.rng.IntN(len(v.links))
+	for i := range v.links {
+		l := v.links[(start+i)%len(v.links)]
+		if l == from || l.oneWay() || l.incarnation == e.report.GetOrigin() {
+			continue
+		}
+		l.reports.add(e)
+		if left--; left == 0 {
+			return
+		}
+	}
+}
+
+// addReports adds reports within the byte limits: urgent ones first, then the
+// newest.
+func (v *View) addReports(now time.Time, l *link, h *wire.Heartbeat) {
+	t := &v.reports
+	if !t.filled.IsZero() {
+		t.tokens = min(reportBurst, t.tokens+now.Sub(t.filled).Seconds()*reportRate)
+	}
+	t.filled = now
+	rest := slices.DeleteFunc(l.reports, func(e *reportEntry) bool { return now.Sub(e.at) > reportAge })
+	room := min(reportBytes, int(t.tokens))
+	start := room
+	for _, urgent := range []bool{true, false} {
+		for i := len(rest) - 1; i >= 0; i-- {
+			e := rest[i]
+			if e.isUrgent() != urgent {
+				continue
+			}
+			r := proto.CloneOf(e.report)
+			r.Age = uint32(now.Sub(e.at).Milliseconds())
+			size := proto.Size(r)
+			if size > room {
+				break
+			}
+			room -= size
+			h.Reports = append(h.Reports, r)
+			rest = slices.Delete(rest, i, i+1)
+		}
+	}
+	l.reports = rest
+	t.tokens -= float64(start - room)
+}
--- /dev/null
+++ b/member/service_test.go
@@ -0,0 +1,309 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azuredeal/azuredeal/store"
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+const fleetSize = 18
+
+// without returns the VMs other than the given one.
+func (f *fleet) without(v *vm) []*vm {
+	return slices.DeleteFunc(slices.Clone(f.vms), func(o *vm) bool { return o == v })
+}
+
+// noFalseStates fails the test when a VM held a running member as suspect or gone.
+func (f *fleet) noFalseStates(when string, vms []*vm) {
+	f.t.Helper()
+	for _, v := range vms {
+		if got := v.falseStates(); len(got) > 0 {
+			f.t.Errorf("%s: %s held running members as %v", when, v.id, got)
+		}
+	}
+}
+
+// Guards against a killed VM that stays in some view.
+func TestKilledVMIsSeenByAll(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.startAll(fleetSize)
+		victim := f.vms[7]
+		rest := f.without(victim)
+		f.noFalseStates("before the kill", rest)
+		f.kill(victim)
+		ids := []string{victim.id}
+		suspect := f.waitFor("suspect in all views", goneAfter, func() bool {
+			return f.allHold(rest, ids, Suspect, Gone)
+		})
+		gone := suspect + f.waitFor("gone in all views", goneAfter+time.Second-suspect, func() bool {
+			return f.allHold(rest, ids, Gone)
+		})
+		t.Logf("suspect in all views after %v, gone after %v", suspect, gone)
+		for _, v := range rest {
+			for _, c := range v.falseStates() {
+				if c.Member.ID() != victim.id {
+					t.Errorf("%s held %s as %v", v.id, c.Member.ID(), c.Member.State())
+				}
+			}
+		}
+	})
+}
+
+// Guards against a one-way cut that only one side sees, or that takes a VM out
+// of use that others hear.
+func TestOneWayCutIsSeenByBothSides(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.startAll(fleetSize)
+		a := f.vms[5]
+		dump := a.svc.Dump()
+		if len(dump.Peers) == 0 {
+			t.Fatal("no peers chosen")
+		}
+		b := f.vms[slices.IndexFunc(f.vms, func(v *vm) bool { return v.id == dump.Peers[0] })]
+		f.net.cut(a.id, b.id)
+		var mute, deaf bool
+		f.waitFor("the link marked by both sides", 4*time.Second, func() bool {
+			for _, l := range a.svc.Dump().Links {
+				mute = mute || (l.Remote == b.id && l.Mute)
+			}
+			for _, l := range b.svc.Dump().Links {
+				deaf = deaf || (l.Remote == a.id && l.Deaf)
+			}
+			return mute && deaf
+		})
+		time.Sleep(2 * time.Minute)
+		f.noFalseStates("during the cut", f.vms)
+		f.net.mend(a.id, b.id)
+		time.Sleep(time.Minute)
+		f.noFalseStates("after the cut", f.vms)
+	})
+}
+
+// Guards against a VM that stays gone, or holds others as gone, after a pause in
+// which it was declared gone.
+func TestPausedVMRejoins(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.startAll(fleetSize)
+		v := f.vms[4]
+		rest := f.without(v)
+		before := v.svc.Snapshot().Self()
+		v.pause()
+		f.waitFor("gone in all views", 10*time.Second, func() bool {
+			return f.allHold(rest, []string{v.id}, Gone)
+		})
+		time.Sleep(5 * time.Minute)
+		v.resume()
+		f.waitFor("alive in all views", 30*time.Second, func() bool {
+			return f.allHold(rest, []string{v.id}, Alive)
+		})
+		time.Sleep(time.Minute)
+		if !f.allHold(rest, []string{v.id}, Alive) || len(v.svc.Snapshot().Alive()) != fleetSize {
+			t.Error("views differ a minute after the pause")
+		}
+		f.noFalseStates("the VM that was paused", []*vm{v})
+		if now := v.svc.Dump().Self; now.Incarnation != before.Incarnation() || now.Version <= before.Version() {
+			t.Errorf("rejoined as version %d, was %d", now.Version, before.Version())
+		}
+	})
+}
+
+// Guards against halves that stay apart after a partition, and against a healed
+// partition that takes running VMs out of use on their own side.
+func TestPartitionHeals(t *testing.T) {
+	for _, length := range []time.Duration{4 * time.Second, time.Minute} {
+		t.Run(length.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { partition(t, length) })
+		})
+	}
+}
+
+func partition(t *testing.T, length time.Duration) {
+	f := newFleet(t, 3)
+	f.startAll(fleetSize)
+	half := f.vms[:fleetSize/2]
+	other := f.vms[fleetSize/2:]
+	each := func(do func(from, to string)) {
+		for _, a := range half {
+			for _, b := range other {
+				do(a.id, b.id)
+				do(b.id, a.id)
+			}
+		}
+	}
+	each(f.net.cut)
+	time.Sleep(length)
+	if length > goneAfter+time.Second && len(half[0].svc.Snapshot().Alive()) != fleetSize/2 {
+		t.Errorf("%d alive in one half", len(half[0].svc.Snapshot().Alive()))
+	}
+	each(f.net.mend)
+	took := f.waitFor("all alive in all views", 2*time.Minute, func() bool {
+		for _, v := range f.vms {
+			if len(v.svc.Snapshot().Alive()) != fleetSize {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("converged %v after the end", took)
+	time.Sleep(time.Minute)
+	for _, v := range f.vms {
+		if len(v.svc.Snapshot().Alive()) != fleetSize {
+			t.Errorf("%s holds %d alive a minute later", v.id, len(v.svc.Snapshot().Alive()))
+		}
+		for _, c := range v.falseStates() {
+			mine := slices.ContainsFunc(half, func(o *vm) bool { return o == v })
+			theirs := slices.ContainsFunc(half, func(o *vm) bool { return o.id == c.Member.ID() })
+			if mine == theirs && c.Member.State() == Gone {
+				t.Errorf("%s held %s of its own half as gone", v.id, c.Member.ID())
+			}
+		}
+	}
+}
+
+// Guards against a leaving VM that callers are still sent to after 2 s.
+func TestLeavingSpreads(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.startAll(fleetSize)
+		v := f.vms[11]
+		v.svc.Leave()
+		took := f.waitFor("leaving in all views", 2*time.Second, func() bool {
+			return f.allHold(f.vms, []string{v.id}, Leaving)
+		})
+		t.Logf("leaving in all views after %v", took)
+		for _, o := range f.vms {
+			if slices.Contains(o.svc.Snapshot().Entries("z0", "caller"), "entry-"+v.id) {
+				t.Errorf("%s still offers the leaving VM", o.id)
+			}
+		}
+		f.noFalseStates("while leaving", f.vms)
+		f.kill(v)
+		f.waitFor("gone in all views", goneAfter+time.Second, func() bool {
+			return f.allHold(f.without(v), []string{v.id}, Gone)
+		})
+	})
+}
+
+// Guards against a platform list that lags: it must neither remove a VM that it
+// lacks nor bring back one that is gone, and it must lead to VMs that no seed does.
+func TestPlatformListIsAHint(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		list := []store.VM{
+			{ID: vmID(0), Peer: vmID(0)},
+			{ID: vmID(1), Peer: vmID(1), Leaving: true},
+			{ID: vmID(9), Peer: vmID(9)},
+			{ID: "never", Peer: "never"},
+		}
+		f.hints = func(context.Context) ([]store.VM, error) { return list, nil }
+		f.each = func(o *Options) { o.Seeds = nil }
+		f.startAll(fleetSize)
+		victim := f.vms[9]
+		rest := f.without(victim)
+		f.kill(victim)
+		time.Sleep(5 * time.Minute)
+		if !f.allHold(rest, []string{victim.id}, Gone) {
+			t.Error("the list brought back a VM that is gone")
+		}
+		for _, v := range rest {
+			if n := len(v.svc.Snapshot().Alive()); n != fleetSize-1 {
+				t.Errorf("%s holds %d alive, want %d", v.id, n, fleetSize-1)
+			}
+		}
+	})
+}
+
+// Guards against a restarted VM that is taken for its earlier process.
+func TestRestartReplacesAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		f.startAll(fleetSize)
+		old := f.vms[6]
+		rest := f.without(old)
+		old.cancel()
+		<-old.done
+		f.vms = rest
+		now := f.start(6, 2)
+		f.waitFor("the new incarnation in all views", 3*time.Second, func() bool {
+			for _, v := range f.vms {
+				if m, ok := v.svc.Snapshot().Find(2); !ok || m.State() != Alive || m.ID() != now.id {
+					return false
+				}
+			}
+			return true
+		})
+		time.Sleep(time.Minute)
+		f.noFalseStates("after the restart", f.vms)
+	})
+}
+
+// Guards against reports or generations that reach only direct peers, and
+// against reports that circulate for ever.
+func TestReportsAndGenerationsReachAll(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		var mu sync.Mutex
+		got := map[string]map[uint64]int{} // Reports by receiver and origin.
+		generations := map[string]uint64{} // By VM.
+		generations[vmID(3)] = 7           // The others follow what they hear.
+		f.each = func(o *Options) {
+			id, self := o.Self.ID(), o.Self
+			got[id] = map[uint64]int{}
+			o.Self = NewMember(id, hashID(id), self.Zone(), self.Peer(), self.Entry())
+			o.Reports = func() []*wire.Report {
+				return []*wire.Report{{Service: "layout", Server: "10.0.0.1:80", Bad: 1}}
+			}
+			o.OnReports = func(reports []*wire.Report) {
+				mu.Lock()
+				defer mu.Unlock()
+				for _, r := range reports {
+					got[id][r.GetOrigin()]++
+				}
+			}
+			o.Generation = func() uint64 {
+				mu.Lock()
+				defer mu.Unlock()
+				return generations[id]
+			}
+			o.OnGeneration = func(_ string, g uint64) {
+				mu.Lock()
+				defer mu.Unlock()
+				generations[id] = max(generations[id], g)
+			}
+		}
+		f.startAll(fleetSize)
+		mu.Lock()
+		for _, v := range f.vms {
+			clear(got[v.id])
+		}
+		mu.Unlock()
+		const seconds = 10
+		time.Sleep(seconds * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		for _, v := range f.vms {
+			if len(got[v.id]) != fleetSize-1 {
+				t.Errorf("%s has reports of %d VMs", v.id, len(got[v.id]))
+			}
+			for origin, n := range got[v.id] {
+				if n > seconds*int(time.Second/heartbeatEvery)+1 {
+					t.Errorf("%s received %d reports of %x, more than were made", v.id, n, origin)
+				}
+			}
+			if generations[v.id] != 7 {
+				t.Errorf("%s has generation %d", v.id, generations[v.id])
+			}
+		}
+	})
+}
+
+var _ = fmt.Sprint
--- /dev/null
+++ b/member/snapshot.go
@@ -0,0 +1,146 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Snapshot is an immutable copy of a view.
+type Snapshot struct {
+	self    Member
+	members []Member
+}
+
+// Snapshot returns a copy of the view.
+func (v *View) Snapshot() *Snapshot {
+	return &Snapshot{self: v.self.Member, members: v.Members()}
+}
+
+// Self returns this VM's own record.
+func (s *Snapshot) Self() Member { return s.self }
+
+// Members returns all records, gone ones included, in an order that is the same
+// on all VMs. The caller must not change the slice.
+func (s *Snapshot) Members() []Member { return s.members }
+
+// Alive returns the members in state Alive, this VM included.
+func (s *Snapshot) Alive() []Member {
+	out := make([]Member, 0, len(s.members))
+	for _, m := range s.members {
+		if m.state == Alive {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Zones returns the members in state Alive by zone.
+func (s *Snapshot) Zones() map[string][]Member {
+	out := map[string][]Member{}
+	for _, m := range s.Alive() {
+		out[m.zone] = append(out[m.zone], m)
+	}
+	return out
+}
+
+// Find returns the record with the given incarnation, whatever its state.
+func (s *Snapshot) Find(incarnation uint64) (Member, bool) {
+	i := slices.IndexFunc(s.members, func(m Member) bool { return m.incarnation == incarnation })
+	if i < 0 {
+		return Member{}, false
+	}
+	return s.members[i], true
+}
+
+// Entries returns the addresses for callers of the members in state Alive, those
+// of zone first. Within each group the order is shuffled by asker: the same asker
+// gets the same order, and a member that comes or goes moves no other.
+func (s *Snapshot) Entries(zone, asker string) []string {
+	type place struct {
+		far  bool
+		rank uint64
+		addr string
+	}
+	key := hashID(asker)
+	var places []place
+	for _, m := range s.members {
+		if m.state == Alive && m.entry != "" {
+			places = append(places, place{far: m.zone != zone, rank: mix(hashID(m.id) ^ key), addr: m.entry})
+		}
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		if a.far != b.far {
+			return sign(a.far)
+		}
+		return cmp.Compare(a.rank, b.rank)
+	})
+	out := make([]string, len(places))
+	for i, p := range places {
+		out[i] = p.addr
+	}
+	return out
+}
+
+// Dump is the state of a view for operators.
+type Dump struct {
+	Self    DumpMember   `json:"self"`
+	Members []DumpMember `json:"members"`
+	Links   []DumpLink   `json:"links"`
+	Peers   []string     `json:"peers"`  // Ids that this VM has chosen.
+	Avoids  []string     `json:"avoids"` // Ids that it leaves out after a one-way cut.
+	Graves  int          `json:"graves"` // Forgotten members whose version is kept.
+	Stats   Stats        `json:"stats"`
+}
+
+// DumpMember is a member in a Dump.
+type DumpMember struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation"`
+	Version     uint64 `json:"version"`
+	Zone        string `json:"zone"`
+	Peer        string `json:"peer"`
+	Entry       string `json:"entry"`
+	State       string `json:"state"`
+	Since       string `json:"since"` // Time in this state, as a Go duration.
+}
+
+// DumpLink is a link in a Dump.
+type DumpLink struct {
+	Remote  string `json:"remote"`
+	Dialed  bool   `json:"dialed"`
+	Sent    uint64 `json:"sent"`  // Sequence number of the last heartbeat sent.
+	Heard   uint64 `json:"heard"` // And of the last one received.
+	Silence string `json:"silence"`
+	Deaf    bool   `json:"deaf"` // Others hear the peer and this VM does not.
+	Mute    bool   `json:"mute"` // The peer does not hear this VM.
+	Pending int    `json:"pending"`
+}
+
+// Dump returns the state for operators.
+func (v *View) Dump(now time.Time) Dump {
+	d := Dump{Graves: len(v.graves), Stats: v.stats}
+	for _, r := range v.ring {
+		m := DumpMember{
+			ID: r.id, Incarnation: r.incarnation, Version: r.version, Zone: r.zone,
+			Peer: r.peer, Entry: r.entry, State: r.state.String(), Since: now.Sub(r.since).String(),
+		}
+		if r == v.self {
+			d.Self = m
+		}
+		d.Members = append(d.Members, m)
+		if !r.avoid.IsZero() {
+			d.Avoids = append(d.Avoids, r.id)
+		}
+	}
+	for _, r := range v.chosen {
+		d.Peers = append(d.Peers, r.id)
+	}
+	for _, l := range v.links {
+		d.Links = append(d.Links, DumpLink{
+			Remote: l.remote, Dialed: l.dialed != "", Sent: l.seq, Heard: l.heard,
+			Silence: now.Sub(l.heardAt).String(), Deaf: l.deaf, Mute: l.mute, Pending: len(l.pending),
+		})
+	}
+	return d
+}
--- /dev/null
+++ b/member/state.go
@@ -0,0 +1,142 @@
+package member
+
+import (
+	"hash/fnv"
+
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+//go:generate stringer -type=State -output=state_string.go
+
+// State is what a VM holds about a member. The order is that of precedence:
+// between records of the same incarnation and version the worse state wins. The
+// values equal those of wire.State.
+type State uint8
+
+// The states, from best to worst.
+const (
+	// Unknown stands for a member that the view does not hold. On the wire it
+	// asks whether anybody hears the member.
+	Unknown State = iota
+	// Alive members take part in everything.
+	Alive
+	// Suspect members have not been heard for suspectAfter.
+	Suspect
+	// Leaving members are shutting down and are not offered to callers.
+	Leaving
+	// Gone members have not been heard for goneAfter.
+	Gone
+)
+
+// Member is one entry VM as this VM sees it.
+type Member struct {
+	id          string
+	incarnation uint64
+	version     uint64
+	zone        string
+	peer        string
+	entry       string
+	state       State
+}
+
+// NewMember returns the record of a VM that starts. The incarnation must be
+// higher than that of any earlier process with the same id. Addresses are
+// "ip:port": peer is for links between VMs, entry for callers.
+func NewMember(id string, incarnation uint64, zone, peer, entry string) Member {
+	return Member{id: id, incarnation: incarnation, version: 1, zone: zone, peer: peer, entry: entry, state: Alive}
+}
+
+// ID returns the id of the VM.
+func (m Member) ID() string { return m.id }
+
+// Incarnation identifies the process; it grows when a VM with the same id restarts.
+func (m Member) Incarnation() uint64 { return m.incarnation }
+
+// Version counts the changes that the member made to its own record.
+func (m Member) Version() uint64 { return m.version }
+
+// Zone returns the availability zone.
+func (m Member) Zone() string { return m.zone }
+
+// Peer returns the address for links between VMs, "ip:port".
+func (m Member) Peer() string { return m.peer }
+
+// Entry returns the address for callers, "ip:port".
+func (m Member) Entry() string { return m.entry }
+
+// State returns the state.
+func (m Member) State() State { return m.state }
+
+func (m Member) wire() *wire.Member {
+	return &wire.Member{
+		Id: m.id, Incarnation: m.incarnation, Version: m.version,
+		Zone: m.zone, Peer: m.peer, Entry: m.entry, State: wire.State(m.state),
+	}
+}
+
+// runs reports whether the member is taken to run.
+func (m Member) runs() bool { return m.state == Alive || m.state == Leaving }
+
+// question asks whether anybody hears this version of the member.
+func (m Member) question() *wire.Member {
+	return &wire.Member{Id: m.id, Incarnation: m.incarnation, Version: m.version}
+}
+
+const (
+	maxID   = 256 // Bytes of an id or a zone name.
+	maxAddr = 64  // Bytes of an address.
+)
+
+// fromWire reports false for a record that cannot be used.
+func fromWire(w *wire.Member) (Member, bool) {
+	m := Member{
+		id: w.GetId(), incarnation: w.GetIncarnation(), version: w.GetVersion(),
+		zone: w.GetZone(), peer: w.GetPeer(), entry: w.GetEntry(), state: State(w.GetState()),
+	}
+	ok := m.id != "" && len(m.id) <= maxID && len(m.zone) <= maxID &&
+		len(m.peer) <= maxAddr && len(m.entry) <= maxAddr &&
+		w.GetState() >= 0 && w.GetState() <= wire.State_STATE_GONE
+	return m, ok
+}
+
+// compare orders records of one id: above 0 when m takes precedence over o.
+func (m Member) compare(o Member) int {
+	if c := m.compareVersion(o); c != 0 {
+		return c
+	}
+	return int(m.state) - int(o.state)
+}
+
+// compareVersion is compare without the states.
+func (m Member) compareVersion(o Member) int {
+	switch {
+	case m.incarnation != o.incarnation:
+		return sign(m.incarnation > o.incarnation)
+	case m.version != o.version:
+		return sign(m.version > o.version)
+	}
+	return 0
+}
+
+func sign(above bool) int {
+	if above {
+		return 1
+	}
+	return -1
+}
+
+// hashID places an id on the ring. It is the same on all VMs.
+func hashID(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return mix(h.Sum64())
+}
+
+// mix is the finalizer of SplitMix64; it spreads every input bit over the output.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/member/watch.go
@@ -0,0 +1,64 @@
+package member
+
+import "time"
+
+// watch updates which members this VM watches: those it has chosen, and those it
+// has a link to that works both ways.
+func (v *View) watch(now time.Time) {
+	v.choose(now)
+	linked := map[string]bool{}
+	for _, l := range v.links {
+		if !l.oneWay() {
+			linked[l.remote] = true
+		}
+	}
+	for _, r := range v.ring {
+		switch watch := r.chosen || linked[r.id]; {
+		case r == v.self || r.state == Gone || !watch:
+			r.watched = time.Time{}
+		case r.watched.IsZero():
+			r.watched = now
+		}
+	}
+}
+
+// silence is the time without any sign of a watched member.
+func (r *record) silence(now time.Time) time.Duration {
+	return now.Sub(later(r.watched, later(r.heard, r.proof)))
+}
+
+// watchSilence acts on the silence of watched members. Before a VM suspects a
+// member it asks the fleet; a member that runs answers by raising its version,
+// so a VM whose own link is cut does not suspect a member that others hear.
+func (v *View) watchSilence(now time.Time) {
+	for _, r := range v.ring {
+		if r.watched.IsZero() {
+			continue
+		}
+		silence := r.silence(now)
+		switch {
+		case r.state == Leaving && silence >= goneAfter:
+			v.setState(now, r, Gone)
+		case r.state == Alive && silence >= suspectAfter:
+			v.setState(now, r, Suspect)
+		case r.runs() && silence >= doubtAfter && r.doubted != r.version:
+			v.stats.Doubts++
+			v.ask(now, r, 0)
+		}
+		if v.isUnreachable(now, r) {
+			v.markOneWay(now, r)
+		}
+	}
+}
+
+// isUnreachable reports whether no link to a chosen peer comes about although
+// the fleet hears it.
+func (v *View) isUnreachable(now time.Time, r *record) bool {
+	return r.chosen && now.Sub(r.watched) >= suspectAfter && r.provedAfter(r.watched) && v.linkTo(r) == nil
+}
+
+// provedAfter reports whether the member showed to others that it runs, a while
+// after t. A version that it raised just after t may have been its last act.
+func (r *record) provedAfter(t time.Time) bool {
+	return r.proof.Sub(t) >= doubtAfter
+}
