--- /dev/null
+++ b/deploy/fleet_test.go
@@ -0,0 +1,304 @@
+package deploy_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/store"
+)
+
+// platform is a store in memory whose calls tests delay, fail and count.
+type platform struct {
+	memory *store.Memory
+
+	mu     sync.Mutex
+	down   bool
+	broken chan struct{} // Closed when the platform goes down.
+	calls  map[string]int
+	bytes  int
+	at     []time.Time // Of calls made while it is down.
+
+	// before and after see each write; an error becomes the answer.
+	before, after func(name string) error
+}
+
+func newPlatform() *platform {
+	return &platform{memory: store.NewMemory(), broken: make(chan struct{}), calls: map[string]int{}}
+}
+
+func (p *platform) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	if down {
+		close(p.broken)
+		p.broken = make(chan struct{})
+	}
+}
+
+// running returns a context and a function that ends it and lets every goroutine
+// of the bubble see so.
+func running(t *testing.T) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	return ctx, func() {
+		cancel()
+		time.Sleep(time.Minute)
+	}
+}
+
+var errSilent = fault.New(fault.PlatformDown, "no answer")
+
+// enter delays a call by the platform's few milliseconds.
+func (p *platform) enter(kind string) (<-chan struct{}, error) {
+	time.Sleep(5 * time.Millisecond)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[kind]++
+	if p.down {
+		p.at = append(p.at, time.Now())
+		return nil, errSilent
+	}
+	return p.broken, nil
+}
+
+func (p *platform) count(kind string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[kind]
+}
+
+func (p *platform) write(name string, do func() error) error {
+	if _, err := p.enter("write"); err != nil {
+		return err
+	}
+	if p.before != nil {
+		if err := p.before(name); err != nil {
+			return err
+		}
+	}
+	if err := do(); err != nil || p.after == nil {
+		return err
+	}
+	return p.after(name)
+}
+
+func (p *platform) client() *store.Client {
+	c := p.memory.Client()
+	return &store.Client{
+		Get: func(ctx context.Context, name string) (store.Object, error) {
+			if _, err := p.enter("read"); err != nil {
+				return store.Object{}, err
+			}
+			return c.Get(ctx, name)
+		},
+		Put: func(ctx context.Context, name string, value []byte, cond store.Version) (v store.Version, err error) {
+			err = p.write(name, func() error {
+				p.mu.Lock()
+				p.bytes += len(value)
+				p.mu.Unlock()
+				v, err = c.Put(ctx, name, value, cond)
+				return err
+			})
+			return v, err
+		},
+		Delete: func(ctx context.Context, name string, cond store.Version) error {
+			return p.write(name, func() error {
+				err := c.Delete(ctx, name, cond)
+				if err == nil {
+					p.mu.Lock()
+					p.calls["delete"]++
+					p.mu.Unlock()
+				}
+				return err
+			})
+		},
+		List: func(ctx context.Context, prefix string) ([]store.Entry, error) {
+			if _, err := p.enter("read"); err != nil {
+				return nil, err
+			}
+			return c.List(ctx, prefix)
+		},
+		Watch: func(ctx context.Context, name string, after store.Version) (store.Object, error) {
+			broken, err := p.enter("watch")
+			if err != nil {
+				return store.Object{}, err
+			}
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			go func() {
+				select {
+				case <-broken:
+					cancel()
+				case <-ctx.Done():
+				}
+			}()
+			return c.Watch(ctx, name, after)
+		},
+	}
+}
+
+// names returns the objects below a prefix.
+func (p *platform) names(t testing.TB, prefix string) []string {
+	t.Helper()
+	list, err := p.memory.Client().List(t.Context(), prefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, e := range list {
+		out = append(out, e.Name)
+	}
+	return out
+}
+
+func silent() *store.Client {
+	p := newPlatform()
+	p.down = true
+	return p.client()
+}
+
+// locked returns a fixed sequence of numbers in [0, 1) for several goroutines.
+func locked(seed uint64) func() float64 {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, seed))
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64()
+	}
+}
+
+func publisher(p *platform, seed uint64) *deploy.Publisher {
+	pub := deploy.NewPublisher(p.client())
+	pub.Rand = locked(seed)
+	return pub
+}
+
+// vms is a group of followers linked as a full mesh, but for blocked pairs.
+type vms struct {
+	list    map[string]*deploy.Follower
+	blocked func(from, to string) bool
+	hang    string // This peer receives and never answers.
+}
+
+func newVMs() *vms {
+	return &vms{list: map[string]*deploy.Follower{}, blocked: func(string, string) bool { return false }}
+}
+
+// add starts a follower; it runs until ctx ends.
+func (v *vms) add(ctx context.Context, id string, client *store.Client) *deploy.Follower {
+	f := deploy.NewFollower(client)
+	f.Rand = locked(uint64(len(v.list) + 1))
+	f.Fetch = func(ctx context.Context, peer string, digests [][]byte) ([]byte, [][]byte, error) {
+		time.Sleep(2 * time.Millisecond)
+		if peer == v.hang {
+			<-ctx.Done()
+		}
+		if ctx.Err() != nil || v.blocked(peer, id) || v.blocked(id, peer) {
+			return nil, nil, errors.New("no link")
+		}
+		head, chunks := v.list[peer].Serve(digests)
+		return head, chunks, nil
+	}
+	v.list[id] = f
+	go func() { _ = f.Run(ctx) }()
+	return f
+}
+
+// beat exchanges heartbeats every 500 ms until ctx ends.
+func (v *vms) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		for from, f := range v.list {
+			for to, g := range v.list {
+				if from != to && !v.blocked(from, to) {
+					g.Offer(from, f.Generation())
+				}
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// reach waits until every VM has the generation and returns how long that took.
+func (v *vms) reach(t *testing.T, generation uint64, bound time.Duration) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for time.Since(begin) <= bound {
+		done := true
+		for _, f := range v.list {
+			done = done && f.Generation() == generation
+		}
+		if done {
+			return time.Since(begin)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	for id, f := range v.list {
+		t.Errorf("%s: %+v", id, f.Dump())
+	}
+	t.Fatalf("generation %d is not in effect everywhere within %v", generation, bound)
+	return 0
+}
+
+func server(i int) note.Server {
+	return note.Server{Addr: fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255), Zone: fmt.Sprintf("z%d", i%6)}
+}
+
+func route(i int) note.Route {
+	return note.Route{
+		Name: fmt.Sprintf("route-%d", i), Service: "service-0", Path: fmt.Sprintf("/v1/tenant-%d/objects/*", i),
+		Methods: []string{"GET"}, Idempotent: true,
+	}
+}
+
+// first is the note that builds a release of that many routes.
+func first(routes int) *note.Note {
+	n := &note.Note{ID: "first"}
+	for i := range max(1, routes*460/25_000) {
+		s := note.Service{Name: fmt.Sprintf("service-%d", i)}
+		for j := range 30 {
+			s.Servers = append(s.Servers, server(i*30+j))
+		}
+		n.Added.Services = append(n.Added.Services, s)
+	}
+	for i := range routes {
+		n.Added.Routes = append(n.Added.Routes, route(i))
+	}
+	for i := range routes * 53 / 25 {
+		name := fmt.Sprintf("account-%d", i)
+		digest := fmt.Sprintf("%x", sha256.Sum256([]byte(name)))
+		n.Added.Accounts = append(n.Added.Accounts, note.Account{Name: name, Digest: digest})
+	}
+	return n
+}
+
+// more is the note that adds one route.
+func more(i int, base uint64) *note.Note {
+	return &note.Note{
+		ID: fmt.Sprintf("more-%d", i), Base: base,
+		Added: note.Changes{Routes: []note.Route{route(1_000_000 + i)}},
+	}
+}
+
+func mustPublish(t testing.TB, p *deploy.Publisher, n *note.Note) uint64 {
+	t.Helper()
+	generation, err := p.Publish(t.Context(), n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return generation
+}
+
+func isHead(name string) bool { return name == "release/head" }
+
+func isChunk(name string) bool { return strings.HasPrefix(name, "release/chunk/") }
--- a/deploy/follower.go
+++ b/deploy/follower.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/store"
 )
@@ -126,13 +125,17 @@
 	wait := backoff{low: outageLow, high: outageHigh, unit: f.Rand}
 	var seen store.Version
 	first := true
+	// VMs that start together, as after the loss of a zone, must not poll together.
+	poll := time.Duration(f.Rand() * float64(pollEvery))
 	for ctx.Err() == nil {
 		watch, turned := f.mode()
 		begin := time.Now()
 		h, err := f.look(ctx, watch && !first, seen, turned)
 		first = false
 		if h != nil {
-			err = f.advance(ctx, h, "platform", f.sources(h, watch)...)
+			if err = f.advance(ctx, h, "platform", f.sources(h, watch)...); err != nil {
+				f.counts.failed.Add(1)
+			}
 		}
 		if err != nil {
 			wait.high = outageHigh
@@ -150,7 +153,8 @@
 		seen = h.version
 		switch {
 		case !watch:
-			f.rest(ctx, spread(pollEvery, pollShare, f.Rand), turned)
+			f.rest(ctx, poll, turned)
+			poll = spread(pollEvery, pollShare, f.Rand)
 		case !changed && time.Since(begin) < watchFloor:
 			// A platform that answers watches at once must not be asked in a loop.
 			f.rest(ctx, spread(watchFloor, 0.5, f.Rand), turned)
@@ -239,7 +243,6 @@
 	defer cancel()
 	rel, err := load(ctx, h, f.Release(), sources...)
 	if err != nil {
-		f.counts.failed.Add(1)
 		return err
 	}
 	encoded, err := note.Encode(rel)
@@ -252,20 +255,18 @@
 
 // Adopt puts a release into effect that a Publisher of this VM has committed, so
 // that peers learn of it even before any watch ends. It fits Publisher.Committed.
-func (f *Follower) Adopt(data []byte, rel *note.Release) error {
+func (f *Follower) Adopt(data []byte, rel *note.Release) {
 	h, err := parseHead(data)
 	if err != nil {
-		return err
+		f.counts.failed.Add(1)
+		return
 	}
 	encoded, err := note.Encode(rel)
-	if err != nil {
-		return err
-	}
-	if h.generation != rel.Generation() || h.manifest != encoded.Manifest().Digest() {
-		return fault.New(fault.Internal, "head of generation %d is not of this release", h.generation)
+	if err != nil || h.generation != rel.Generation() || h.manifest != encoded.Manifest().Digest() {
+		f.counts.failed.Add(1)
+		return
 	}
 	f.put(&effect{release: rel, head: h, encoded: encoded, source: "self", since: time.Now()})
-	return nil
 }
 
 // put puts a release into effect, unless a newer one came first.
--- /dev/null
+++ b/deploy/follower_test.go
@@ -0,0 +1,367 @@
+package deploy_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/store"
+)
+
+// Guards against notes that reach VMs too late: within 3 s with the platform up,
+// within 6 s where some VMs reach only peers.
+func TestPropagation(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		cut   int // VMs that do not reach the platform.
+		chain bool
+		bound time.Duration
+	}{
+		{"platform up", 0, false, 3 * time.Second},
+		{"three reach only peers", 3, false, 6 * time.Second},
+		{"three in a chain", 3, true, 6 * time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := running(t)
+			defer stop()
+			p := newPlatform()
+			pub := publisher(p, 1)
+			mustPublish(t, pub, first(500))
+			v := newVMs()
+			for i := range 6 {
+				client := p.client()
+				if i >= 6-tt.cut {
+					client = silent()
+				}
+				v.add(ctx, fmt.Sprintf("vm%d", i), client).SetWatch(i < 2)
+			}
+			if tt.chain { // vm2 to vm5 have one link to each neighbour.
+				v.blocked = func(from, to string) bool {
+					a, b := min(from, to), max(from, to)
+					return b > "vm2" && (a < "vm2" || b[2]-a[2] != 1)
+				}
+			}
+			go v.beat(ctx)
+			v.reach(t, 1, 30*time.Second)
+			for i := range 20 {
+				time.Sleep(time.Duration(i) * 7777 * time.Millisecond)
+				generation := mustPublish(t, pub, more(i, uint64(i+1)))
+				took := v.reach(t, generation, tt.bound)
+				t.Logf("%s: generation %d after %v", tt.name, generation, took)
+			}
+		})
+	}
+}
+
+// Guards against a VM whose peer receives its calls and never answers: the other
+// peers have to be asked before the bound of 6 s.
+func TestHangingPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := running(t)
+		defer stop()
+		p := newPlatform()
+		pub := publisher(p, 1)
+		mustPublish(t, pub, first(20))
+		v := newVMs()
+		v.add(ctx, "a", p.client()).SetWatch(true)
+		v.add(ctx, "b", p.client()).SetWatch(true)
+		v.add(ctx, "c", silent())
+		go v.beat(ctx)
+		v.reach(t, 1, 10*time.Second)
+		v.hang = "a"
+		for i := range 10 {
+			v.reach(t, mustPublish(t, pub, more(i, uint64(i+1))), 6*time.Second)
+		}
+	})
+}
+
+// Guards against a VM that goes back to an older release, whoever shows it one.
+func TestGenerationOnlyGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := running(t)
+		defer stop()
+		p := newPlatform()
+		pub := publisher(p, 1)
+		mustPublish(t, pub, first(20))
+		v := newVMs()
+		old := v.add(ctx, "old", p.memory.Client())
+		v.reach(t, 1, time.Second)
+		stale := must(p.memory.Client().Get(ctx, "release/head"))
+		v.blocked = func(from, _ string) bool { return from == "old" }
+		old.SetWatch(false)
+		mustPublish(t, pub, more(0, 1))
+
+		// The platform shows the old head at a newer version, as after a restore.
+		lagging := p.client()
+		lagging.Get = func(ctx context.Context, name string) (store.Object, error) {
+			o, err := p.memory.Client().Get(ctx, name)
+			if isHead(name) && v.list["vm"].Generation() == 2 {
+				return store.Object{Value: stale.Value, Version: o.Version + 1}, nil
+			}
+			return o, err
+		}
+		lagging.Watch = func(context.Context, string, store.Version) (store.Object, error) {
+			time.Sleep(time.Second)
+			return store.Object{Value: stale.Value, Version: 1 << 40}, nil
+		}
+		var seen []uint64
+		vm := v.add(ctx, "vm", lagging)
+		vm.Apply = func(rel *note.Release) { seen = append(seen, rel.Generation()) }
+		time.Sleep(time.Second)
+		v.blocked = func(string, string) bool { return false }
+		vm.Offer("old", 9) // The peer states more than it has.
+		vm.SetWatch(true)
+		time.Sleep(2 * time.Minute)
+		vm.SetWatch(false)
+		time.Sleep(2 * time.Minute)
+		if !slices.Equal(seen, []uint64{2}) || vm.Generation() != 2 {
+			t.Errorf("generations %v took effect", seen)
+		}
+		if d := vm.Dump(); d.Behind == 0 || d.Failed == 0 {
+			t.Errorf("older heads were not counted: %+v", d)
+		}
+	})
+}
+
+// Guards against a VM that starts in an outage and stays without a release
+// although its peers have one.
+func TestStartInOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := running(t)
+		defer stop()
+		p := newPlatform()
+		mustPublish(t, publisher(p, 1), first(2500))
+		v := newVMs()
+		v.add(ctx, "a", p.client()).SetWatch(true)
+		v.reach(t, 1, time.Second)
+		p.setDown(true)
+		fresh := v.add(ctx, "b", p.client())
+		if head, chunks := fresh.Serve(nil); head != nil || chunks != nil || fresh.Release() != nil {
+			t.Error("a VM without a release serves one")
+		}
+		go v.beat(ctx)
+		v.reach(t, 1, 6*time.Second)
+		if d := fresh.Dump(); d.Source != "a" || d.Routes != 2500 || len(d.Offers) != 0 {
+			t.Errorf("dump %+v", d)
+		}
+		v.add(ctx, "c", p.client()) // Its peers know the release only from each other.
+		v.blocked = func(from, to string) bool { return min(from, to) == "a" && max(from, to) == "c" }
+		v.reach(t, 1, 6*time.Second)
+	})
+}
+
+// Guards against bytes of a peer, or of the platform, that take effect although
+// they are not what the manifest names.
+func TestWrongDigest(t *testing.T) {
+	for _, both := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := running(t)
+			defer stop()
+			p := newPlatform()
+			pub := publisher(p, 1)
+			mustPublish(t, pub, first(20))
+			spoil := func(data []byte) []byte {
+				out := bytes.Clone(data)
+				out[len(out)-1] ^= 1
+				return out
+			}
+			v := newVMs()
+			v.add(ctx, "a", p.client()).SetWatch(true)
+			client := p.client()
+			get := client.Get
+			client.Get = func(ctx context.Context, name string) (store.Object, error) {
+				if isHead(name) {
+					return store.Object{}, errSilent
+				}
+				o, err := get(ctx, name)
+				if both && isChunk(name) {
+					o.Value = spoil(o.Value)
+				}
+				return o, err
+			}
+			vm := v.add(ctx, "vm", client)
+			honest := vm.Fetch
+			vm.Fetch = func(ctx context.Context, peer string, digests [][]byte) ([]byte, [][]byte, error) {
+				head, chunks, err := honest(ctx, peer, digests)
+				for i := range chunks {
+					chunks[i] = spoil(chunks[i])
+				}
+				return head, chunks, err
+			}
+			go v.beat(ctx)
+			time.Sleep(time.Minute)
+			if got := vm.Generation(); (got == 0) != both {
+				t.Errorf("platform spoiled %v: generation %d", both, got)
+			}
+		})
+	}
+}
+
+// Guards against a fleet that asks the platform in step during an outage or
+// after it, and against one that does not return.
+func TestOutageSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := running(t)
+		defer stop()
+		p := newPlatform()
+		pub := publisher(p, 1)
+		mustPublish(t, pub, first(1))
+		v := newVMs()
+		const fleet = 200
+		for i := range fleet {
+			v.add(ctx, fmt.Sprint(i), p.client())
+		}
+		v.reach(t, 1, 5*time.Second)
+		p.setDown(true)
+		begin := time.Now()
+		time.Sleep(30 * time.Minute)
+		p.mu.Lock()
+		perSecond := map[int]int{}
+		for _, at := range p.at {
+			if s := int(at.Sub(begin).Seconds()); s >= 120 {
+				perSecond[s]++
+			}
+		}
+		p.mu.Unlock()
+		most := 0
+		for _, n := range perSecond {
+			most = max(most, n)
+		}
+		t.Logf("at most %d of %d VMs ask in one second", most, fleet)
+		if most > fleet/10 || most == 0 {
+			t.Errorf("%d of %d VMs ask in one second", most, fleet)
+		}
+		p.setDown(false)
+		mustPublish(t, pub, more(0, 1))
+		v.reach(t, 2, 46*time.Second) // The longest pause is 30 s and half of that.
+	})
+}
+
+// Guards against a watch that is not taken up, not given up, or asked in a loop
+// of a platform that answers at once; and against polls that are too frequent.
+func TestWatchAndPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := running(t)
+		defer stop()
+		p := newPlatform()
+		mustPublish(t, publisher(p, 1), first(1))
+		v := newVMs()
+		f := v.add(ctx, "a", p.client())
+		v.reach(t, 1, time.Second)
+		calls := func(kind string, d time.Duration) int {
+			before := p.count(kind)
+			time.Sleep(d)
+			return p.count(kind) - before
+		}
+		if n := calls("read", 10*time.Minute); n < 16 || n > 25 {
+			t.Errorf("%d polls in 10 min", n)
+		}
+		f.SetWatch(true)
+		if n := calls("watch", 10*time.Minute); n < 55 || n > 62 {
+			t.Errorf("%d watches of 10 s in 10 min", n)
+		}
+		f.SetWatch(false)
+		if n := calls("watch", 10*time.Minute); n != 0 || f.Dump().Watch {
+			t.Errorf("%d watches after the watch was given up", n)
+		}
+		hasty := p.client()
+		hasty.Watch = func(ctx context.Context, name string, _ store.Version) (store.Object, error) {
+			_, _ = p.enter("hasty")
+			return p.memory.Client().Get(ctx, name)
+		}
+		v.add(ctx, "b", hasty).SetWatch(true)
+		if n := calls("hasty", time.Minute); n > 120 {
+			t.Errorf("%d watches in 1 min", n)
+		}
+	})
+}
+
+// Guards against a VM that publishes and waits for the platform to tell it what
+// it did, or adopts a release that is not the one of the head.
+func TestAdopt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		f := deploy.NewFollower(silent())
+		pub := publisher(p, 1)
+		pub.Current, pub.Committed = f.Release, f.Adopt
+		mustPublish(t, pub, first(1))
+		if d := f.Dump(); d.Generation != 1 || d.Source != "self" {
+			t.Errorf("dump %+v", d)
+		}
+		head, _ := f.Serve(nil)
+		mustPublish(t, pub, more(0, 1))
+		other := deploy.NewFollower(silent())
+		other.Adopt(head, f.Release())
+		other.Adopt([]byte("head"), f.Release())
+		if other.Release() != nil || f.Generation() != 2 {
+			t.Error("a head of another release was adopted")
+		}
+	})
+}
+
+// Guards against an answer to a peer that is larger than a message, a peer that
+// cannot make progress because of that, and offers without bound.
+func TestServeBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		f := deploy.NewFollower(silent())
+		pub := publisher(p, 1)
+		pub.Committed = f.Adopt
+		mustPublish(t, pub, first(25_000))
+		var all [][]byte
+		for _, c := range must(note.Encode(f.Release())).Chunks() {
+			d := c.Digest()
+			all = append(all, d[:])
+		}
+		all = append(all, []byte("short"), make([]byte, 32))
+		served := 0
+		for served < len(all)-2 {
+			_, chunks := f.Serve(all[served:])
+			size := 0
+			for _, c := range chunks {
+				size += len(c)
+			}
+			if size > note.MaxChunk || len(chunks) == 0 {
+				t.Fatalf("%d chunks of %d bytes in one answer", len(chunks), size)
+			}
+			served += len(chunks)
+		}
+		for i := range 1000 {
+			f.Offer(fmt.Sprint(i), uint64(2+i))
+		}
+		if d := f.Dump(); len(d.Offers) != 64 || !slices.ContainsFunc(d.Offers, func(o deploy.OfferDump) bool {
+			return o.Generation == 1001
+		}) {
+			t.Errorf("%d offers are kept", len(d.Offers))
+		}
+	})
+}
+
+// Guards against a zone with too many watches or none, and against watches that
+// move when another VM goes.
+func TestWatchHolders(t *testing.T) {
+	var zone []string
+	for i := range 217 {
+		zone = append(zone, fmt.Sprintf("vm-%d", i))
+	}
+	holders := deploy.WatchHolders("a", zone, 5)
+	if len(holders) != deploy.MaxHolders || len(deploy.WatchHolders("a", zone[:1], 3)) != 1 ||
+		len(deploy.WatchHolders("a", nil, 3)) != 0 || len(deploy.WatchHolders("a", zone, -1)) != 0 {
+		t.Fatalf("holders %v", holders)
+	}
+	for _, gone := range zone {
+		rest := slices.DeleteFunc(slices.Clone(zone), func(id string) bool { return id == gone })
+		slices.Reverse(rest)
+		now := deploy.WatchHolders("a", append(rest, rest[0]), 3)
+		kept := slices.DeleteFunc(slices.Clone(holders), func(id string) bool { return id == gone })
+		if len(now) != 3 || !slices.Equal(now[:len(kept)], kept) {
+			t.Fatalf("without %s: %v, was %v", gone, now, holders)
+		}
+	}
+}
--- a/deploy/offers.go
+++ b/deploy/offers.go
@@ -149,6 +149,7 @@
 	f.busy--
 	o.busy = false
 	if err != nil {
+		f.counts.failed.Add(1)
 		o.next = time.Now().Add(o.wait.next())
 	}
 	f.mu.Unlock()
--- a/deploy/publish.go
+++ b/deploy/publish.go
@@ -53,7 +53,7 @@
 	Current func() *note.Release
 	// Committed is called with the encoded head and the release of each commit;
 	// it may be nil. See Follower.Adopt.
-	Committed func(head []byte, rel *note.Release) error
+	Committed func(head []byte, rel *note.Release)
 	// Rand returns numbers in [0, 1) for jitter.
 	Rand func() float64
 
@@ -155,9 +155,7 @@
 	p.last = next
 	p.counts.accepted.Add(1)
 	if p.Committed != nil {
-		if err := p.Committed(fresh.data, next); err != nil {
-			return generation, err
-		}
+		p.Committed(fresh.data, next)
 	}
 	p.clean(ctx, next.Generation(), encoded)
 	return generation, nil
