--- a/fault/fault.go
+++ b/fault/fault.go
@@ -241,12 +241,26 @@
 // (RFC 9457). Only the text of the table reaches the caller: messages of wrapped
 // errors may hold addresses of backend servers.
 func Write(w http.ResponseWriter, err error, id string) {
-	kind := Of(err)
+	write(w, Of(err), Of(err).Answer().ran, id)
+}
+
+// WriteUnsure is Write for a request whose key may have run before: it says
+// "unknown" in place of "not run", as the VM that refuses does not know what
+// became of earlier requests with the same key.
+func WriteUnsure(w http.ResponseWriter, err error, id string) {
+	ran := Of(err).Answer().ran
+	if ran == No {
+		ran = Unknown
+	}
+	write(w, Of(err), ran, id)
+}
+
+func write(w http.ResponseWriter, kind Kind, ran Ran, id string) {
 	a := kind.Answer()
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(HeaderError, kind.String())
-	h.Set(HeaderRan, a.ran.Token())
+	h.Set(HeaderRan, ran.Token())
 	if id != "" {
 		h.Set(HeaderID, id)
 	}
@@ -255,5 +269,5 @@
 	}
 	w.WriteHeader(a.status)
 	_, _ = fmt.Fprintf(w, "{\"type\":\"about:blank\",\"status\":%d,\"title\":%q,\"kind\":%q,\"ran\":%q}\n",
-		a.status, a.text, kind.String(), a.ran.Token())
+		a.status, a.text, kind.String(), ran.Token())
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -254,8 +254,12 @@
 		count = c.service.count
 		defer c.drop()
 	}
-	if err == nil {
+	refuse := fault.Write
+	switch {
+	case err == nil:
 		err = h.answer(w, r, c)
+	case mayHaveRun(r, err):
+		refuse = fault.WriteUnsure
 	}
 	if err == nil {
 		count.whole.Inc()
@@ -267,7 +271,17 @@
 		// The rest of the body may still arrive, and would be read as a request.
 		w.Header().Set("Connection", "close")
 	}
-	fault.Write(w, err, id)
+	refuse(w, err, id)
+}
+
+// mayHaveRun reports whether an earlier request with the key of r may have run,
+// when r was refused before its key was looked up. A key that is missing or
+// malformed never ran.
+func mayHaveRun(r *http.Request, err error) bool {
+	if r.Header.Get(HeaderKey) == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return false
+	}
+	return fault.Of(err) != fault.KeyInvalid
 }
 
 // answer runs an accepted call and writes its response. An error means that
--- /dev/null
+++ b/proxy/unsure_test.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/note"
+)
+
+// A VM that refuses a keyed request before it looked the key up must not say "not
+// run": an earlier request with the key may have run at another VM.
+func TestEarlyRefusalOfKeyedRequest(t *testing.T) {
+	rel := note.NewRelease(1, []note.Service{{Name: "s"}}, []note.Route{
+		{Name: "orders", Service: "s", Path: "/orders/*", Methods: []string{"POST", "GET"}, Key: note.KeyRequired},
+	}, nil)
+	tests := []struct {
+		name, method, key, account string
+		ready                      bool
+		kind                       fault.Kind
+		ran                        string
+	}{
+		{"no release, keyed", "POST", "k", "", false, fault.NotReady, "unknown"},
+		{"no release, no key", "POST", "", "", false, fault.NotReady, "no"},
+		{"no release, lookup", "GET", "k", "", false, fault.NotReady, "no"},
+		{"unknown account, keyed", "POST", "k", "x", true, fault.UnknownAccount, "unknown"},
+		{"unknown account, no key", "POST", "", "x", true, fault.UnknownAccount, "no"},
+		{"key missing", "POST", "", "", true, fault.KeyMissing, "no"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := New(Options{})
+			if tt.ready {
+				h.SetRelease(rel)
+			}
+			r := httptest.NewRequest(tt.method, "/orders/1", strings.NewReader("plate 7"))
+			if tt.key != "" {
+				r.Header.Set(HeaderKey, tt.key)
+			}
+			if tt.account != "" {
+				r.Header.Set(HeaderAccount, tt.account)
+			}
+			rec := httptest.NewRecorder()
+			h.ServeHTTP(rec, r)
+			if got := rec.Header().Get(fault.HeaderError); got != tt.kind.String() {
+				t.Errorf("kind %s, want %v", got, tt.kind)
+			}
+			if got := rec.Header().Get(fault.HeaderRan); got != tt.ran {
+				t.Errorf("ran %s, want %s", got, tt.ran)
+			}
+			if rec.Code == http.StatusOK {
+				t.Error("the request was answered")
+			}
+		})
+	}
+}
