--- a/admin/client.go
+++ b/admin/client.go
@@ -52,7 +52,7 @@
 }
 
 func (c *Client) try(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	err := error(fault.New(fault.Invalid, "no VM to ask"))
+	err := fault.New(fault.Invalid, "no VM to ask")
 	for _, base := range c.bases {
 		var reply []byte
 		reply, err = c.call(ctx, method, base+path, body)
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -50,13 +50,13 @@
 }
 
 // addresses asks one VM for the addresses to use, as callers do.
-func (c *caller) addresses(ctx context.Context, any, zone string) ([]string, error) {
+func (c *caller) addresses(ctx context.Context, addr, zone string) ([]string, error) {
 	var out struct {
 		Addresses []struct {
 			Addr string `json:"addr"`
 		} `json:"addresses"`
 	}
-	if err := c.getJSON(ctx, http.MethodGet, "http://"+any+"/azuredeal/v1/addresses?zone="+zone, &out); err != nil {
+	if err := c.getJSON(ctx, http.MethodGet, "http://"+addr+"/azuredeal/v1/addresses?zone="+zone, &out); err != nil {
 		return nil, err
 	}
 	var addrs []string
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -39,11 +39,10 @@
 func part[T any](v *VM) T { return do.MustInvoke[T](v.parts) }
 
 // assemble registers the parts.
-func (v *VM) assemble(ctx context.Context) {
+func (v *VM) assemble(ctx context.Context, counters *metrics.Set) {
 	i := do.New()
 	v.parts = i
-	do.ProvideValue(i, v.settings)
-	do.ProvideValue(i, metrics.NewSet())
+	do.ProvideValue(i, counters)
 	do.Provide(i, func(do.Injector) (*store.Client, error) {
 		return store.NewHTTP(v.settings.Platform.URL, http.DefaultClient), nil
 	})
@@ -56,28 +55,27 @@
 	do.Provide(i, func(do.Injector) (*deploy.Follower, error) { return v.newFollower(ctx) })
 	do.Provide(i, v.newPublisher)
 	do.Provide(i, v.newAdmin)
-	v.health.flights = func() []board.Flight { return part[*proxy.Handler](v).Flights() }
-	v.health.apply = func(service string, weights map[string]float64) {
-		part[*proxy.Handler](v).SetWeights(service, weights)
-	}
+	handler := part[*proxy.Handler](v)
+	v.health.flights, v.health.apply = handler.Flights, handler.SetWeights
 	v.callers = v.newCallers()
+	v.registerGauges(counters)
 	v.probes = newProbes(ctx, newProber(v.Alive, func(service, server string, ok bool, took time.Duration) {
 		_ = part[*board.Board](v).Do(ctx, func(now time.Time) { v.health.probe(now, service, server, ok, took) })
 	}))
 }
 
 func (v *VM) newProxy(do.Injector) (*proxy.Handler, error) {
+	// These two serve every request, so they are looked up once.
+	control, guard := part[*board.Board](v), part[*idem.Guard](v)
 	return proxy.New(proxy.Options{
 		Zone:           v.settings.Zone,
 		Seed:           v.incarnation,
 		AnonymousRate:  v.settings.Limits.Rate,
 		AnonymousBurst: v.settings.Limits.Burst,
 		BodyTime:       v.settings.Limits.Read.Std(),
-		Sample:         func(s board.Sample) { part[*board.Board](v).Post(s) },
-		Once: func(ctx context.Context, c idem.Call, run idem.Run) (*idem.Answer, error) {
-			return part[*idem.Guard](v).Do(ctx, c, run)
-		},
-		Metrics: part[*metrics.Set](v),
+		Sample:         func(s board.Sample) { control.Post(s) },
+		Once:           guard.Do,
+		Metrics:        part[*metrics.Set](v),
 	}), nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/samber/do/v2"
@@ -61,8 +62,9 @@
 	if err := v.listen(); err != nil {
 		return nil, err
 	}
-	v.health = newMonitor(v.log, v.incarnation)
-	v.assemble(ctx)
+	counters := metrics.NewSet()
+	v.health = newMonitor(v.log, counters, v.incarnation)
+	v.assemble(ctx, counters)
 	return v, nil
 }
 
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -25,22 +25,23 @@
 // monitor is the controller that feeds the health groups and publishes their
 // decisions. Only the control goroutine uses it.
 type monitor struct {
-	log     zerolog.Logger
-	origin  uint64 // Incarnation of this VM.
-	flights func() []board.Flight
-	apply   func(service string, weights map[string]float64)
-	order   []string
-	watched map[string]*watched
-	steps   int
-	latest  atomic.Pointer[[]*wire.Report] // For heartbeats, which run elsewhere.
+	log      zerolog.Logger
+	counters *metrics.Set
+	origin   uint64 // Incarnation of this VM.
+	flights  func() []board.Flight
+	apply    func(service string, weights map[string]float64)
+	order    []string
+	watched  map[string]*watched
+	steps    int
+	latest   atomic.Pointer[[]*wire.Report] // For heartbeats, which run elsewhere.
 }
 
 // reportSteps is how many steps pass between reports; at 100 ms a step it matches
 // the interval of heartbeats.
 const reportSteps = 5
 
-func newMonitor(log zerolog.Logger, origin uint64) *monitor {
-	return &monitor{log: log, origin: origin, watched: map[string]*watched{}}
+func newMonitor(log zerolog.Logger, counters *metrics.Set, origin uint64) *monitor {
+	return &monitor{log: log, counters: counters, origin: origin, watched: map[string]*watched{}}
 }
 
 func (m *monitor) controller() board.Controller {
@@ -121,7 +122,7 @@
 	if before == d.State() || (!known && d.State() == health.Healthy) {
 		return
 	}
-	metrics.GetOrCreateCounter(`azuredeal_decisions_total{service="` + w.service.Name + `",state="` + d.State().String() + `"}`).Inc()
+	m.counters.GetOrCreateCounter(`azuredeal_decisions_total{service="` + w.service.Name + `",state="` + d.State().String() + `"}`).Inc()
 	m.log.Info().Str("service", w.service.Name).Str("server", d.Server()).
 		Stringer("before", before).Stringer("state", d.State()).
 		Float64("weight", d.Weight()).Str("reason", d.Reason()).Msg("backend server changed state")
--- /dev/null
+++ b/note/page_test.go
@@ -0,0 +1,35 @@
+package note_test
+
+import (
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/strict"
+)
+
+// The page of the format and the code must name the same fields.
+func TestNotesPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/NOTES.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for title, v := range map[string]any{"service": note.Service{}, "route": note.Route{}, "account": note.Account{}} {
+		var want, got []string
+		for _, f := range strict.Fields(v) {
+			want = append(want, f.Path())
+		}
+		_, section, _ := strings.Cut(string(page), "## Fields of a")
+		_, section, _ = strings.Cut(section, title+"\n")
+		section, _, _ = strings.Cut(section, "\n## ")
+		for _, row := range regexp.MustCompile("(?m)^\\| `([^`]+)`").FindAllStringSubmatch(section, -1) {
+			got = append(got, row[1])
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("docs/NOTES.md lists for a %s\n%v\nthe code has\n%v", title, got, want)
+		}
+	}
+}
--- a/strict/strict.go
+++ b/strict/strict.go
@@ -299,7 +299,7 @@
 		if ft.Kind() == reflect.Slice {
 			path, ft = path+"[]", ft.Elem()
 		}
-		if ft.Kind() == reflect.Struct && !hasUnmarshaler(ft) {
+		if ft.Kind() == reflect.Struct {
 			walk(ft, path+".", out)
 			continue
 		}
