--- a/fault/fault_test.go
+++ b/fault/fault_test.go
@@ -68,3 +68,17 @@
 	fmt.Println(a.Status(), a.Ran().Token())
 	// Output: 503 no
 }
+
+// The page for the person on call and the code must give the same answers.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range Kinds() {
+		row := fmt.Sprintf("| `%s` | %d | %s |", k, k.Answer().Status(), k.Answer().Ran().Token())
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/OPERATIONS.md lacks the row %s", row)
+		}
+	}
+}
