--- a/cmd/azuredeal/outage_test.go
+++ b/cmd/azuredeal/outage_test.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 )
 
 func (s *site) faults(t *testing.T, faults string) {
@@ -108,3 +111,90 @@
 		t.Errorf("repeat of the note that won: exit %d, %s", code, out)
 	}
 }
+
+// A VM that cannot reach the platform follows new releases through its peers.
+func TestReleaseThroughPeers(t *testing.T) {
+	s := newSite(t, 3, 2)
+	nobody := closedAddr(t)
+	cut := s.startVMWith(nobody)
+	if out, code := s.publish(s.release("first"), s.vms[0].admin); code != 0 {
+		t.Fatalf("publish: exit %d, %s", code, out)
+	}
+	s.awaitGeneration(1, s.vms...)
+	if a := call(http.MethodGet, "http://"+cut.entry+"/signs/1", ""); !a.own("/signs/1") {
+		t.Errorf("lookup at the VM without the platform: %v", a)
+	}
+	if out, code := s.publish(map[string]any{"id": "n", "base": 1, "withdrawn": map[string]any{"routes": []string{"signs"}}}, s.vms[1].admin); code != 0 {
+		t.Fatalf("publish: exit %d, %s", code, out)
+	}
+	s.awaitGeneration(2, s.vms...)
+	if a := call(http.MethodGet, "http://"+cut.entry+"/signs/1", ""); a.kind != "NoRoute" {
+		t.Errorf("withdrawn route at the VM without the platform: %v", a)
+	}
+}
+
+// closedAddr returns an address on which nothing listens.
+func closedAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// leavingBound is how long after a backend server began to leave it may get new
+// work.
+const leavingBound = 3 * time.Second
+
+// A backend server that leaves gets no new work from any VM after 3 s, although
+// its probes pass and only the VMs that sent it work were told.
+func TestLeavingServer(t *testing.T) {
+	s := newSite(t, 4, 3)
+	if out, code := s.publish(s.release("first"), s.vms[0].admin); code != 0 {
+		t.Fatalf("publish: exit %d, %s", code, out)
+	}
+	s.awaitGeneration(1, s.vms...)
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	for i, v := range s.vms {
+		load.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(5*(i+1)) * time.Millisecond):
+				}
+				path := fmt.Sprintf("/signs/%d-%d", i, n)
+				if a := call(http.MethodGet, "http://"+v.entry+path, ""); !a.own(path) {
+					t.Errorf("%s: %v", path, a)
+				}
+			}
+		})
+	}
+	defer load.Wait()
+	defer close(stop)
+	eventually(t, "work at the server", func() bool { return s.arrived(1) > 20 })
+	resp, err := client.Post("http://"+s.workers[1]+"/standin/drain", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	time.Sleep(leavingBound)
+	before := s.arrived(1)
+	time.Sleep(leavingBound)
+	if after := s.arrived(1); after != before {
+		t.Errorf("%d requests arrived at the leaving server after %v", after-before, leavingBound)
+	}
+}
+
+// arrived returns how many requests a worker has received.
+func (s *site) arrived(worker int) int {
+	s.t.Helper()
+	var n int
+	if err := getJSON("http://"+s.workers[worker]+"/standin/arrived", &n); err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
--- a/cmd/azuredeal/process_test.go
+++ b/cmd/azuredeal/process_test.go
@@ -164,6 +164,12 @@
 
 // startVM starts one more VM; it learns of the others by the first one's address.
 func (s *site) startVM() *vm {
+	s.t.Helper()
+	return s.startVMWith(s.platform)
+}
+
+// startVMWith starts a VM that reaches the platform at the given address.
+func (s *site) startVMWith(platform string) *vm {
 	s.t.Helper()
 	n := len(s.vms)
 	var seeds []string
@@ -176,7 +182,7 @@
 		"entry":    map[string]any{"addr": "127.0.0.1:0"},
 		"admin":    map[string]any{"addr": "127.0.0.1:0"},
 		"peer":     map[string]any{"addr": "127.0.0.1:0", "secret": strings.Repeat("s3cret", 6), "seeds": append([]string{}, seeds...)},
-		"platform": map[string]any{"url": "http://" + s.platform},
+		"platform": map[string]any{"url": "http://" + platform},
 		"limits":   map[string]any{"rate": 100000, "burst": 100000},
 		"drain":    map[string]any{"ttl": "300ms", "deadline": "10s"},
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -58,6 +58,7 @@
 	started  time.Time
 	slots    chan struct{}
 	waiting  atomic.Int64
+	arrived  atomic.Int64 // Requests, refused ones included; probes are not counted.
 	draining atomic.Bool
 
 	mu       sync.Mutex
@@ -110,6 +111,9 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("GET /load", s.serveLoad)
 	mux.HandleFunc("GET /standin/runs", s.serveRuns)
+	mux.HandleFunc("GET /standin/arrived", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, s.arrived.Load())
+	})
 	mux.HandleFunc("PUT /standin/behavior", s.serveBehavior)
 	mux.HandleFunc("POST /standin/drain", func(http.ResponseWriter, *http.Request) { s.Drain() })
 	mux.HandleFunc("/", s.serve)
@@ -149,6 +153,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.arrived.Add(1)
 	w.Header().Set(headerID, r.Header.Get(headerID))
 	switch {
 	case s.draining.Load():
