entry: decide on idle services every tenth step

Cause: BenchmarkControlStep, 115 requests a second over 14,000 servers, spent most of a step on services without any new evidence. Such a service, with nothing in flight and only healthy servers, is now decided on once a second, each in its own step. Servers with nothing in flight are left out of the flights. Ruled out: a longer step for all services, which would add to every detection time. Before and after, share of a core at ten steps a second: 14,000 servers 6.86% and 2.21%, 1,400 servers 0.27% and 0.09%, 140 servers 0.03% both. Detection in the demo stays at 1.0 s (stall) and 0.5 s (crossed).

--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -20,6 +20,9 @@
 	service note.Service
 	states  map[string]health.State
 	weights map[string]float64 // As traffic has them.
+	fresh   bool               // Evidence has come since the last decision.
+	settled bool               // All servers were healthy at the last decision.
+	busy    bool               // It had requests in flight at the last decision.
 }
 
 // monitor is the controller that feeds the health groups and publishes their
@@ -36,6 +39,12 @@
 	latest   atomic.Pointer[[]*wire.Report] // For heartbeats, which run elsewhere.
 }
 
+// idleSteps is how many steps pass between decisions on a service that has no new
+// evidence, nothing in flight and only healthy servers. At 460 services a VM sees
+// few requests of each, and deciding on all of them in each step took 10% of a
+// core.
+const idleSteps = 10
+
 // reportSteps is how many steps pass between reports; at 100 ms a step it matches
 // the interval of heartbeats.
 const reportSteps = 5
@@ -61,6 +70,7 @@
 		w.service = s
 		// The release may have given servers new targets, so all weights are set again.
 		w.weights = map[string]float64{}
+		w.settled = false
 		w.group.SetPolicy(health.NewPolicy(s.Detection))
 		w.group.Set(now, lo.Map(s.Servers, func(b note.Server, _ int) health.Server {
 			return health.NewServer(b.Addr, b.Zone, b.Leaving)
@@ -75,31 +85,29 @@
 func (m *monitor) sample(now time.Time, s board.Sample) {
 	if w := m.watched[s.Service]; w != nil {
 		w.group.Observe(now, s)
+		w.fresh = true
 	}
 }
 
 func (m *monitor) probe(now time.Time, service, server string, ok bool, took time.Duration) {
 	if w := m.watched[service]; w != nil {
 		w.group.Probe(now, server, ok, took)
+		w.fresh = true
 	}
 }
 
 func (m *monitor) step(now time.Time) {
 	flights := lo.GroupBy(m.flights(), func(f board.Flight) string { return f.Service })
-	for _, name := range m.order {
+	for n, name := range m.order {
 		w := m.watched[name]
-		w.group.Flights(now, flights[name])
-		changed := map[string]float64{}
-		for _, d := range w.group.Decide(now) {
-			if before, known := w.weights[d.Server()]; !known || before != d.Weight() {
-				w.weights[d.Server()] = d.Weight()
-				changed[d.Server()] = d.Weight()
-			}
-			m.record(w, d)
-		}
-		if len(changed) > 0 {
-			m.apply(name, changed)
+		list := flights[name]
+		turn := (m.steps+n)%idleSteps == 0
+		if w.settled && !w.fresh && !w.busy && len(list) == 0 && !turn {
+			continue
 		}
+		w.group.Flights(now, list)
+		w.busy = len(list) > 0
+		m.decide(now, name, w)
 	}
 	if m.steps++; m.steps%reportSteps == 0 {
 		reports := m.reports(now)
@@ -107,6 +115,23 @@
 	}
 }
 
+// decide takes the decisions on one service and hands changed weights to traffic.
+func (m *monitor) decide(now time.Time, name string, w *watched) {
+	w.fresh, w.settled = false, true
+	changed := map[string]float64{}
+	for _, d := range w.group.Decide(now) {
+		if before, known := w.weights[d.Server()]; !known || before != d.Weight() {
+			w.weights[d.Server()] = d.Weight()
+			changed[d.Server()] = d.Weight()
+		}
+		w.settled = w.settled && d.State() == health.Healthy
+		m.record(w, d)
+	}
+	if len(changed) > 0 {
+		m.apply(name, changed)
+	}
+}
+
 // published returns the newest reports; any goroutine may call it.
 func (m *monitor) published() []*wire.Report {
 	if reports := m.latest.Load(); reports != nil {
@@ -142,6 +167,7 @@
 	byService := lo.GroupBy(reports, func(r *wire.Report) string { return r.GetService() })
 	for name, list := range byService {
 		if w := m.watched[name]; w != nil {
+			w.fresh = true
 			w.group.Merge(now, "", lo.Map(list, func(r *wire.Report, _ int) health.Report { return health.FromWire(r) }))
 		}
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,10 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
-	"github.com/samber/lo"
 	"golang.org/x/net/netutil"
 
-	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/proxy"
 )
@@ -102,10 +100,7 @@
 // settle waits for requests that other VMs have forwarded here.
 func (v *VM) settle(ctx context.Context) {
 	handler := part[*proxy.Handler](v)
-	busy := func() bool {
-		return lo.SomeBy(handler.Flights(), func(f board.Flight) bool { return f.Count > 0 })
-	}
-	for busy() && pause(ctx, settleCheck) {
+	for len(handler.Flights()) > 0 && pause(ctx, settleCheck) {
 	}
 }
 
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -179,7 +179,7 @@
 	s.makeRoom()
 }
 
-// Flights returns what is in flight at each backend server.
+// Flights returns what is in flight; a backend server with nothing is left out.
 func (h *Handler) Flights() []board.Flight {
 	st := h.state.Load()
 	if st == nil {
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -139,7 +139,9 @@
 
 func (s *service) flights(out []board.Flight) []board.Flight {
 	for _, v := range s.servers {
-		out = append(out, v.pool.Flight())
+		if f := v.pool.Flight(); f.Count > 0 {
+			out = append(out, f)
+		}
 	}
 	return out
 }
