--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -121,10 +121,11 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), timeLeft(caller))
 	defer cancel()
 	defer context.AfterFunc(l.base, cancel)()
-	defer context.AfterFunc(ctx, func() {
-		time.Sleep(runGrace)
+	overdue := time.AfterFunc(runMost+runGrace, func() {
 		l.finish(time.Now(), e, nil, fault.New(fault.Timeout, "the run outlived its context"))
-	})()
+	})
+	defer overdue.Stop()
+	defer context.AfterFunc(ctx, func() { overdue.Reset(runGrace) })()
 	var answer *Answer
 	err := fault.New(fault.Internal, "the run did not return")
 	defer func() {
