health: judge ejections by exchanges that began after the reduction

Cause: most false ejections followed a burst on a busy server; the evidence that had reduced its share also ejected it. Change: an ejection and a return need exchanges that began in the current state, and failures seen by two VMs where peers report.

--- a/health/decide.go
+++ b/health/decide.go
@@ -8,21 +8,19 @@
 )
 
 const (
-	reducedWeight = 0.1
-	trialWeight   = 0.05
-	coldWeight    = 0.05
-	startWeight   = 0.2
-	usableWeight  = 0.5 // Least weight that counts towards the floor.
-	rampTime      = 6 * time.Second
-	reducedHold   = 2 * time.Second
-	reducedMost   = 8 * time.Second
-	levelHalfLife = 4 * time.Second
-	flapHalfLife  = 2 * time.Minute
-	ejectionMost  = 5 * time.Minute
-	sharedShare   = 0.4 // Suspects above this share of the servers are a shared cause.
-	zoneShare     = 0.6 // The same within one zone.
-	quietScore    = 1.0 // Evidence below this lets a reduced server return.
-	twoOrigins    = 2   // VMs that must agree on an ejection where there are peers.
+	reducedWeight   = 0.1
+	trialWeight     = 0.05
+	coldWeight      = 0.05
+	startWeight     = 0.2
+	usableWeight    = 0.5 // Least weight that counts towards the floor.
+	rampTime        = 6 * time.Second
+	levelHalfLife   = 4 * time.Second
+	flapHalfLife    = 2 * time.Minute
+	ejectionMost    = 5 * time.Minute
+	sharedShare     = 0.4 // Suspects above this share of the servers are a shared cause.
+	zoneShare       = 0.6 // The same within one zone.
+	retrialFailures = 2   // Failed exchanges of a trial that end it.
+	twoOrigins      = 2   // VMs that must agree on an ejection where there are peers.
 )
 
 // zoneCount counts the servers of a zone.
@@ -232,41 +230,43 @@
 func (g *Group) stepReduced(now time.Time, r *record, shared bool) {
 	spent := now.Sub(r.since)
 	switch {
+	case spent < g.policy.confirm:
 	case shared:
-		if spent >= reducedHold {
-			r.restart(now, "shared cause")
-		}
-	case g.ejectable(now, r):
+		r.restart(now, "shared cause")
+	case g.ejectable(r):
 		g.eject(now, r)
-	case spent >= reducedHold && r.score < quietScore && !r.stalled && r.passed > r.failed:
+	case r.returns(g.policy):
 		r.restart(now, "evidence has passed")
-	case spent >= reducedMost && !g.zoneCause(r.zone):
-		r.enter(now, Trial, "suspected for long")
 	}
 }
 
-// ejectable reports whether the evidence holds for an ejection.
-func (g *Group) ejectable(now time.Time, r *record) bool {
-	if now.Sub(r.since) < g.policy.confirm || g.zoneCause(r.zone) || r.local() {
+// ejectable reports whether the exchanges that began after the share was
+// reduced justify an ejection. A server that was only busy recovers with the
+// reduced share, so earlier exchanges do not count.
+func (g *Group) ejectable(r *record) bool {
+	if g.zoneCause(r.zone) || r.local() {
 		return false
 	}
-	if r.tally.voices > 0 && r.tally.origins < twoOrigins {
+	if r.tally.voices > 0 && r.witnesses() < twoOrigins {
 		return false
 	}
-	strong := max(r.level, r.decayed(now)+g.stallEvidence(r))
-	return strong >= g.policy.eject && r.passed < max(1, r.failed)
+	return r.failed >= g.policy.passes && r.failed > 2*r.passed
+}
+
+// returns reports whether enough exchanges of the current state were good.
+func (r *record) returns(p Policy) bool {
+	return r.passed >= p.passes+2*r.failed && !r.stalled
 }
 
 func (g *Group) stepTrial(now time.Time, r *record, shared bool) {
 	switch {
-	case r.failed > 0 || r.stalled:
-		if shared || g.zoneCause(r.zone) || r.local() {
-			r.enter(now, Trial, r.reason)
-			return
-		}
-		g.eject(now, r)
-	case r.passed >= g.policy.passes:
+	case r.returns(g.policy):
 		r.restart(now, "trial passed")
+	case r.failed < retrialFailures || r.failed <= r.passed:
+	case shared || g.zoneCause(r.zone) || r.local():
+		r.enter(now, Trial, r.reason)
+	default:
+		g.eject(now, r)
 	}
 }
 
--- a/health/health.go
+++ b/health/health.go
@@ -158,41 +158,45 @@
 	case board.Cold:
 		r.coldAt = now
 	case board.Success:
-		g.success(now, r, s.Took)
+		g.success(now, r, s)
 	case board.Canceled:
 		if slow := g.Slow(); slow > 0 && s.Took > slow {
-			g.bad(now, r, 1)
+			g.bad(now, r, s, 1)
 		}
 	case board.Mismatch:
 		// A healthy server never answers another request.
-		g.bad(now, r, mismatchWeight)
+		g.bad(now, r, s, mismatchWeight)
 	case board.Unreachable:
 		r.bucket(now, g.policy.window).unreachable++
-		g.bad(now, r, 1)
+		g.bad(now, r, s, 1)
 	default:
-		g.bad(now, r, 1)
+		g.bad(now, r, s, 1)
 	}
 }
 
-func (g *Group) success(now time.Time, r *record, took time.Duration) {
+func (g *Group) success(now time.Time, r *record, s board.Sample) {
 	slow := g.Slow()
-	r.learn(took)
+	r.learn(s.Took)
 	if r.state == Healthy && r.score < 1 {
-		g.base.learn(took)
+		g.base.learn(s.Took)
 	}
-	if slow > 0 && took > slow {
-		g.bad(now, r, 1)
+	if slow > 0 && s.Took > slow {
+		g.bad(now, r, s, 1)
 		return
 	}
 	r.bucket(now, g.policy.window).good++
-	r.passed++
-	r.goodAt = now
+	if s.Start.After(r.since) {
+		r.passed++
+	}
 	r.own = max(0, r.decayed(now)+g.base.good)
 }
 
-func (g *Group) bad(now time.Time, r *record, count uint32) {
+func (g *Group) bad(now time.Time, r *record, s board.Sample, count uint32) {
 	r.bucket(now, g.policy.window).bad += count
-	r.failed++
+	if s.Start.After(r.since) {
+		r.failed++
+		r.ownFail = true
+	}
 	r.own = r.decayed(now) + float64(count)*g.base.bad
 }
 
--- a/health/record.go
+++ b/health/record.go
@@ -35,9 +35,12 @@
 	stallFrom time.Time
 	typical   float64 // Estimated median, natural log of seconds.
 	seen      int
-	goodAt    time.Time
-	passed    int // Good exchanges in the current state.
-	failed    int // Bad exchanges in the current state.
+
+	// Exchanges that began in the current state.
+	passed  int
+	failed  int
+	ownFail bool // This VM has seen one of the failed exchanges.
+	mine    bool // Only the exchanges of this VM count: the cause is on its path.
 
 	// What the server states about itself, and probes.
 	drainAt     time.Time
@@ -156,5 +159,5 @@
 
 func (r *record) enter(now time.Time, s State, reason string) {
 	r.state, r.since, r.reason = s, now, reason
-	r.passed, r.failed = 0, 0
+	r.passed, r.failed, r.ownFail, r.mine = 0, 0, false, false
 }
--- a/health/share.go
+++ b/health/share.go
@@ -19,7 +19,8 @@
 type word struct {
 	origin  uint64
 	at      time.Time // When the evidence was gathered.
-	counted time.Time // Last evidence that counted in a trial.
+	counted time.Time // Last evidence that counted for the current state.
+	failed  time.Time // Last of it with bad exchanges.
 	Report
 }
 
@@ -63,10 +64,14 @@
 		return
 	}
 	w.at, w.Report = at, p
-	if at.Sub(w.counted) >= window && at.After(r.since) {
+	from := at.Add(-window)
+	if !r.mine && from.After(r.since) && !from.Before(w.counted) {
 		w.counted = at
 		r.passed += int(p.good)
-		r.failed += int(p.bad + p.stalled)
+		r.failed += int(min(p.bad+p.stalled, originLimit))
+		if p.bad+p.stalled > 0 {
+			w.failed = at
+		}
 	}
 }
 
@@ -197,3 +202,18 @@
 	}
 	return out
 }
+
+// witnesses returns how many VMs saw exchanges fail that began in the current
+// state.
+func (r *record) witnesses() int {
+	n := 0
+	if r.ownFail {
+		n++
+	}
+	for i := range r.words {
+		if r.words[i].failed.After(r.since) {
+			n++
+		}
+	}
+	return n
+}
