health: put a trial before the first ejection

Cause: a few requests of the Pareto tail block all slots of a healthy server for seconds; the reduced share already protects callers, so ejecting it at once gains little. Relay only what concerns two VMs or a changed state.

--- a/health/decide.go
+++ b/health/decide.go
@@ -79,9 +79,14 @@
 	if t.own > 0 {
 		t.origins++
 	}
+	if now.Sub(r.heardAt) >= wordAge {
+		r.tally = t
+		return
+	}
+	fresh := now.Add(-wordAge)
 	for i := range r.words {
 		w := &r.words[i]
-		if now.Sub(w.at) >= wordAge {
+		if !w.at.After(fresh) {
 			continue
 		}
 		t.voices++
@@ -228,29 +233,28 @@
 }
 
 func (g *Group) stepReduced(now time.Time, r *record, shared bool) {
-	spent := now.Sub(r.since)
 	switch {
-	case spent < g.policy.confirm:
+	case now.Sub(r.since) < g.policy.confirm:
 	case shared:
 		r.restart(now, "shared cause")
-	case g.ejectable(r):
-		g.eject(now, r)
+	case g.failing(r, g.policy.passes):
+		r.enter(now, Trial, "fails with a reduced share")
 	case r.returns(g.policy):
 		r.restart(now, "evidence has passed")
 	}
 }
 
-// ejectable reports whether the exchanges that began after the share was
-// reduced justify an ejection. A server that was only busy recovers with the
-// reduced share, so earlier exchanges do not count.
-func (g *Group) ejectable(r *record) bool {
+// failing reports whether the exchanges that began in the current state speak
+// for an ejection. A server that was only busy recovers with the reduced share,
+// so earlier exchanges do not count.
+func (g *Group) failing(r *record, least int) bool {
 	if g.zoneCause(r.zone) || r.local() {
 		return false
 	}
 	if r.tally.voices > 0 && r.witnesses() < twoOrigins {
 		return false
 	}
-	return r.failed >= g.policy.passes && r.failed > 2*r.passed
+	return r.failed >= least && r.failed > 2*r.passed
 }
 
 // returns reports whether enough exchanges of the current state were good.
@@ -258,15 +262,18 @@
 	return r.passed >= p.passes+2*r.failed && !r.stalled
 }
 
+// stepTrial waits before an ejection for longer than a few long requests can
+// block all slots of a healthy server. A trial has little share already, so the
+// wait costs few requests.
 func (g *Group) stepTrial(now time.Time, r *record, shared bool) {
 	switch {
 	case r.returns(g.policy):
 		r.restart(now, "trial passed")
-	case r.failed < retrialFailures || r.failed <= r.passed:
-	case shared || g.zoneCause(r.zone) || r.local():
-		r.enter(now, Trial, r.reason)
-	default:
+	case shared || now.Sub(r.since) < g.policy.trial:
+	case g.failing(r, retrialFailures):
 		g.eject(now, r)
+	case r.failed > 2*r.passed:
+		r.enter(now, Trial, r.reason)
 	}
 }
 
--- a/health/policy.go
+++ b/health/policy.go
@@ -12,8 +12,8 @@
 type Policy struct {
 	window  time.Duration // Exchanges that count, and that reports cover.
 	reduce  float64       // Evidence for a reduced share, in nats.
-	eject   float64       // Evidence for an ejection, in nats.
-	confirm time.Duration // Reduced share that precedes an ejection.
+	confirm time.Duration // Least time with a reduced share.
+	trial   time.Duration // Least time on trial before an ejection.
 	margin  float64       // Slow means above the 98th percentile times margin.
 	passes  int           // Good exchanges that end a trial.
 	base    time.Duration // First ejection.
@@ -28,8 +28,8 @@
 		return Policy{
 			window:  scale(time.Second, 1+bias/2),
 			reduce:  9 + 4*bias,
-			eject:   18 + 6*bias,
 			confirm: scale(time.Second, 1+bias),
+			trial:   scale(12*time.Second, 1+bias),
 			margin:  1.5 + bias/2,
 			passes:  3,
 			base:    5 * time.Second,
@@ -38,7 +38,6 @@
 	return Policy{
 		window:  scale(1500*time.Millisecond, 1+bias/3),
 		reduce:  13 + 4*bias,
-		eject:   24 + 6*bias,
 		confirm: scale(2*time.Second, 1+bias),
 		margin:  2 + bias/2,
 		passes:  4,
--- a/health/record.go
+++ b/health/record.go
@@ -48,7 +48,8 @@
 	probeFails  bool
 	probeFailAt time.Time
 
-	words []word // Reports of other VMs, by origin.
+	words   []word // Reports of other VMs, by origin.
+	heardAt time.Time
 
 	// Decision.
 	tally   tally
--- a/health/share.go
+++ b/health/share.go
@@ -64,6 +64,9 @@
 		return
 	}
 	w.at, w.Report = at, p
+	if at.After(r.heardAt) {
+		r.heardAt = at
+	}
 	from := at.Add(-window)
 	if !r.mine && from.After(r.since) && !from.Before(w.counted) {
 		w.counted = at
@@ -129,7 +132,7 @@
 		if p, ok := g.ownReport(now, r); ok {
 			own = append(own, p)
 		}
-		if g.origin != 0 {
+		if g.origin != 0 && r.widely() {
 			relayed = r.relay(now, relayed)
 		}
 	}
@@ -154,14 +157,20 @@
 	if r.condition(now) != Normal || r.stalled || r.tally.bad > 0 {
 		return true
 	}
-	if r.state == Reduced || r.state == Trial || r.state == Starting {
+	if r.state == Reduced || r.state == Trial {
 		return true
 	}
-	return slices.ContainsFunc(r.words, func(w word) bool {
+	return now.Sub(r.heardAt) < wordAge && slices.ContainsFunc(r.words, func(w word) bool {
 		return now.Sub(w.at) < wordAge && w.against() > 0
 	})
 }
 
+// widely reports whether the evidence concerns VMs beyond the linked peers: a
+// single slow exchange does not.
+func (r *record) widely() bool {
+	return r.tally.origins >= twoOrigins || (r.state != Healthy && r.state != Starting)
+}
+
 func (g *Group) ownReport(now time.Time, r *record) (Report, bool) {
 	sum := r.sum(now, g.policy.window)
 	p := Report{
