health: hold a shared cause and eject only on recent failures

Cause: a trial ejected on failures older than the last good exchange, and a slow service dropped below the limit of suspects as its weights fell. Change: the newest exchange must be a failure less than 3 s old; a shared cause holds for 5 s, counts suspects outside of affected zones, and also follows from the rate of bad exchanges of the typical server.

--- a/health/baseline.go
+++ b/health/baseline.go
@@ -26,6 +26,7 @@
 	seen   int
 	median time.Duration
 	at     time.Time
+	rate   float64 // Share of bad exchanges of a typical server.
 	good   float64 // Evidence of one good exchange, in nats, negative.
 	bad    float64 // Evidence of one bad exchange, in nats.
 }
@@ -40,6 +41,7 @@
 // typical server. The more a shared cause makes all servers fail, the less a
 // bad exchange says about one of them.
 func (b *baseline) weigh(rate float64) {
+	b.rate = rate
 	rate = min(max(rate, badAtLeast), badAtMost)
 	b.bad = math.Log(badWhenSick / rate)
 	b.good = math.Log((1 - badWhenSick) / (1 - rate))
--- a/health/decide.go
+++ b/health/decide.go
@@ -18,9 +18,13 @@
 	flapHalfLife    = 2 * time.Minute
 	ejectionMost    = 5 * time.Minute
 	sharedShare     = 0.4 // Suspects above this share of the servers are a shared cause.
-	zoneShare       = 0.6 // The same within one zone.
-	retrialFailures = 2   // Failed exchanges of a trial that end it.
-	twoOrigins      = 2   // VMs that must agree on an ejection where there are peers.
+	sharedRate      = 0.2 // Share of bad exchanges of the typical server, likewise.
+	sharedHold      = 5 * time.Second
+	zoneShare       = 0.6             // The same within one zone.
+	recentEjection  = 0.5             // Decayed count of ejections.
+	failureAge      = 3 * time.Second // Older failures justify no ejection.
+	retrialFailures = 2               // Failed exchanges of a trial that end it.
+	twoOrigins      = 2               // VMs that must agree on an ejection where there are peers.
 )
 
 // zoneCount counts the servers of a zone.
@@ -122,7 +126,26 @@
 			g.zone(r.zone).suspects++
 		}
 	}
-	return suspects > 1 && float64(suspects) > sharedShare*float64(capacity)
+	return g.sharedCause(now, suspects, capacity)
+}
+
+// sharedCause reports whether most servers outside of affected zones are
+// suspects, or the typical server of the service fails. It holds for a while,
+// since the weight of evidence falls as soon as all servers fail alike.
+func (g *Group) sharedCause(now time.Time, suspects, capacity int) bool {
+	affected := 0
+	for i := range g.zones {
+		if z := &g.zones[i]; g.zoneCause(z.name) {
+			affected++
+			suspects -= z.suspects
+			capacity -= z.suspects
+		}
+	}
+	most := affected > 1 && 2*affected > len(g.zones)
+	if most || (suspects > 1 && float64(suspects) > sharedShare*float64(capacity)) || g.base.rate >= sharedRate {
+		g.sharedAt = now
+	}
+	return !g.sharedAt.IsZero() && now.Sub(g.sharedAt) < sharedHold
 }
 
 func (r *record) suspect(p Policy) bool {
@@ -264,16 +287,21 @@
 
 // stepTrial waits before an ejection for longer than a few long requests can
 // block all slots of a healthy server. A trial has little share already, so the
-// wait costs few requests.
+// wait costs few requests. A server that has been ejected before is known to be
+// unhealthy and waits for less.
 func (g *Group) stepTrial(now time.Time, r *record, shared bool) {
+	wait := g.policy.trial
+	if r.flaps >= recentEjection {
+		wait = g.policy.confirm
+	}
 	switch {
+	case shared:
+		r.enter(now, Trial, "shared cause")
 	case r.returns(g.policy):
 		r.restart(now, "trial passed")
-	case shared || now.Sub(r.since) < g.policy.trial:
+	case now.Sub(r.since) < wait || r.passedAt.After(r.failedAt) || now.Sub(r.failedAt) >= failureAge:
 	case g.failing(r, retrialFailures):
 		g.eject(now, r)
-	case r.failed > 2*r.passed:
-		r.enter(now, Trial, r.reason)
 	}
 }
 
--- a/health/health.go
+++ b/health/health.go
@@ -86,6 +86,7 @@
 	index     map[string]int
 	base      baseline
 	zones     []zoneCount
+	sharedAt  time.Time // Last time with a shared cause.
 	decisions []Decision
 	order     []int // Scratch for the floor and the baseline.
 }
@@ -187,6 +188,7 @@
 	r.bucket(now, g.policy.window).good++
 	if s.Start.After(r.since) {
 		r.passed++
+		r.passedAt = now
 	}
 	r.own = max(0, r.decayed(now)+g.base.good)
 }
@@ -195,6 +197,7 @@
 	r.bucket(now, g.policy.window).bad += count
 	if s.Start.After(r.since) {
 		r.failed++
+		r.failedAt = now
 		r.ownFail = true
 	}
 	r.own = r.decayed(now) + float64(count)*g.base.bad
--- a/health/record.go
+++ b/health/record.go
@@ -37,10 +37,12 @@
 	seen      int
 
 	// Exchanges that began in the current state.
-	passed  int
-	failed  int
-	ownFail bool // This VM has seen one of the failed exchanges.
-	mine    bool // Only the exchanges of this VM count: the cause is on its path.
+	passed   int
+	failed   int
+	passedAt time.Time
+	failedAt time.Time
+	ownFail  bool // This VM has seen one of the failed exchanges.
+	mine     bool // Only the exchanges of this VM count: the cause is on its path.
 
 	// What the server states about itself, and probes.
 	drainAt     time.Time
@@ -160,5 +162,6 @@
 
 func (r *record) enter(now time.Time, s State, reason string) {
 	r.state, r.since, r.reason = s, now, reason
+	r.passedAt, r.failedAt = time.Time{}, time.Time{}
 	r.passed, r.failed, r.ownFail, r.mine = 0, 0, false, false
 }
--- a/health/share.go
+++ b/health/share.go
@@ -70,10 +70,13 @@
 	from := at.Add(-window)
 	if !r.mine && from.After(r.since) && !from.Before(w.counted) {
 		w.counted = at
-		r.passed += int(p.good)
+		if p.good > 0 {
+			r.passed += int(p.good)
+			r.passedAt = at
+		}
 		r.failed += int(min(p.bad+p.stalled, originLimit))
 		if p.bad+p.stalled > 0 {
-			w.failed = at
+			w.failed, r.failedAt = at, at
 		}
 	}
 }
