health: take the typical rate per zone

Cause: a slow zone holds more servers than the trimmed share, so it raised the rate of the service and its servers were released as a shared cause. Change: the rate is taken per zone without its worst servers; the median of the zones counts.

--- a/health/baseline.go
+++ b/health/baseline.go
@@ -91,14 +91,18 @@
 	g.base.median = medians[len(medians)/2]
 }
 
-// rate returns the share of bad exchanges of the service without its worst
-// servers: one unhealthy server leaves it low, a shared cause raises it.
+// rate returns the share of bad exchanges of the typical server: of each zone
+// without its worst servers, then the median of the zones. Neither an unhealthy
+// server nor a slow zone raises it; a cause that all servers share does.
 func (g *Group) rate() float64 {
-	var good, bad float64
 	g.order = g.order[:0]
+	for i := range g.zones {
+		g.zones[i].good, g.zones[i].bad, g.zones[i].trimmed = 0, 0, 0
+	}
 	for i, r := range g.records {
-		good += r.tally.good
-		bad += r.tally.bad
+		z := &g.zones[r.zoneIndex]
+		z.good += r.tally.good
+		z.bad += r.tally.bad
 		if r.tally.bad > 0 {
 			g.order = append(g.order, i)
 		}
@@ -109,13 +113,30 @@
 	slices.SortStableFunc(g.order, func(a, b int) int {
 		return cmp.Compare(g.records[b].tally.bad, g.records[a].tally.bad)
 	})
-	trim := max(1, int(trimShare*float64(len(g.records))))
-	for _, i := range g.order[:min(trim, len(g.order))] {
-		good -= g.records[i].tally.good
-		bad -= g.records[i].tally.bad
+	for _, i := range g.order {
+		g.zones[g.records[i].zoneIndex].trim(g.records[i].tally)
+	}
+	rates := make([]float64, 0, len(g.zones))
+	for i := range g.zones {
+		rates = append(rates, g.zones[i].rate())
+	}
+	slices.Sort(rates)
+	return rates[(len(rates)-1)/2]
+}
+
+// trim takes one of the worst servers out, up to a share of the zone.
+func (z *zoneCount) trim(t tally) {
+	if z.trimmed >= max(1, int(trimShare*float64(z.servers))) {
+		return
 	}
-	if good+bad < 1 {
+	z.trimmed++
+	z.good -= t.good
+	z.bad -= t.bad
+}
+
+func (z *zoneCount) rate() float64 {
+	if z.good+z.bad < 1 {
 		return 0
 	}
-	return bad / (good + bad)
+	return z.bad / (z.good + z.bad)
 }
--- a/health/decide.go
+++ b/health/decide.go
@@ -29,26 +29,29 @@
 
 // zoneCount counts the servers of a zone.
 type zoneCount struct {
-	name     string
-	servers  int
-	suspects int
+	name      string
+	servers   int
+	suspects  int
+	good, bad float64 // Exchanges, without the worst servers.
+	trimmed   int
 }
 
 func (g *Group) countZones() {
 	g.zones = g.zones[:0]
 	for _, r := range g.records {
-		g.zone(r.zone).servers++
+		r.zoneIndex = g.zoneOf(r.zone)
+		g.zones[r.zoneIndex].servers++
 	}
 }
 
-func (g *Group) zone(name string) *zoneCount {
+func (g *Group) zoneOf(name string) int {
 	for i := range g.zones {
 		if g.zones[i].name == name {
-			return &g.zones[i]
+			return i
 		}
 	}
 	g.zones = append(g.zones, zoneCount{name: name})
-	return &g.zones[len(g.zones)-1]
+	return len(g.zones) - 1
 }
 
 // Decide returns a decision for each server, in the order of Set. The slice is
@@ -123,7 +126,7 @@
 		capacity++
 		if r.suspect(g.policy) {
 			suspects++
-			g.zone(r.zone).suspects++
+			g.zones[r.zoneIndex].suspects++
 		}
 	}
 	return g.sharedCause(now, suspects, capacity)
@@ -135,7 +138,7 @@
 func (g *Group) sharedCause(now time.Time, suspects, capacity int) bool {
 	affected := 0
 	for i := range g.zones {
-		if z := &g.zones[i]; g.zoneCause(z.name) {
+		if z := &g.zones[i]; g.zoneCause(i) {
 			affected++
 			suspects -= z.suspects
 			capacity -= z.suspects
@@ -154,8 +157,8 @@
 
 // zoneCause reports whether most servers of the zone are suspects while there
 // are other zones.
-func (g *Group) zoneCause(name string) bool {
-	z := g.zone(name)
+func (g *Group) zoneCause(zone int) bool {
+	z := &g.zones[zone]
 	return len(g.zones) > 1 && z.servers > 1 && float64(z.suspects) >= zoneShare*float64(z.servers)
 }
 
@@ -271,7 +274,7 @@
 // for an ejection. A server that was only busy recovers with the reduced share,
 // so earlier exchanges do not count.
 func (g *Group) failing(r *record, least int) bool {
-	if g.zoneCause(r.zone) || r.local() {
+	if g.zoneCause(r.zoneIndex) || r.local() {
 		return false
 	}
 	if r.tally.voices > 0 && r.witnesses() < twoOrigins {
--- a/health/record.go
+++ b/health/record.go
@@ -26,6 +26,7 @@
 // record is what a group knows about one server.
 type record struct {
 	Server
+	zoneIndex int
 
 	// Evidence of this VM.
 	buckets   [bucketCount + 1]bucket
