health: evidence on the path from this VM to a zone

Cause: a VM cut off from a zone needed several exchanges with each server, and its peers' good reports ended the local avoidance at once. Change: the exchanges of this VM with a zone count together; where peers hold nothing against a server, only own exchanges end its reduced share. Long states start their counts anew, so that they end on recent exchanges.

--- a/health/decide.go
+++ b/health/decide.go
@@ -34,6 +34,7 @@
 	suspects  int
 	good, bad float64 // Exchanges, without the worst servers.
 	trimmed   int
+	own       tally // Exchanges of this VM alone.
 }
 
 func (g *Group) countZones() {
@@ -78,7 +79,7 @@
 // count sums up the evidence of all VMs about the server.
 func (r *record) count(now time.Time, window time.Duration) {
 	sum := r.sum(now, window)
-	t := tally{good: float64(sum.good), own: float64(sum.bad)}
+	t := tally{good: float64(sum.good), ownGood: float64(sum.good), own: float64(sum.bad)}
 	if r.stalled {
 		t.own++
 	}
@@ -105,6 +106,9 @@
 	}
 	t.good += t.others
 	t.bad += t.against
+	if t.against >= twoOrigins && t.origins > twoOrigins {
+		r.mine = false
+	}
 	r.tally = t
 }
 
@@ -227,12 +231,17 @@
 	case r.score >= g.policy.reduce:
 		r.enter(now, Reduced, "evidence of several VMs")
 		return
+	case g.pathCause(r):
+		r.enter(now, Reduced, "path to the zone")
+		r.mine = r.tally.against == 0
+		return
 	case r.decayed(now)+g.stallEvidence(r) >= g.policy.reduce:
-		if r.local() {
+		local := r.local()
+		r.enter(now, Reduced, "evidence of this VM")
+		if local {
 			r.enter(now, Trial, "bad from this VM only")
-		} else {
-			r.enter(now, Reduced, "evidence of this VM")
 		}
+		r.mine = local
 		return
 	}
 	if r.state == Starting && now.Sub(r.since) >= rampTime {
@@ -243,6 +252,15 @@
 	}
 }
 
+// pathCause reports whether the exchanges of this VM with all servers of the
+// zone together are bad, and this server gave no good one. A VM that is cut off
+// from a zone sees this long before it has enough evidence on each server.
+func (g *Group) pathCause(r *record) bool {
+	own := g.zones[r.zoneIndex].own
+	return len(g.zones) > 1 && r.tally.ownGood == 0 &&
+		own.good*g.base.good+own.bad*g.base.bad >= g.policy.reduce
+}
+
 func (g *Group) stallEvidence(r *record) float64 {
 	if r.stalled {
 		return g.base.bad
@@ -267,6 +285,8 @@
 		r.enter(now, Trial, "fails with a reduced share")
 	case r.returns(g.policy):
 		r.restart(now, "evidence has passed")
+	case now.Sub(r.since) >= g.policy.trial:
+		r.recount(now)
 	}
 }
 
@@ -302,9 +322,11 @@
 		r.enter(now, Trial, "shared cause")
 	case r.returns(g.policy):
 		r.restart(now, "trial passed")
-	case now.Sub(r.since) < wait || r.passedAt.After(r.failedAt) || now.Sub(r.failedAt) >= failureAge:
-	case g.failing(r, retrialFailures):
+	case now.Sub(r.since) < wait:
+	case g.failing(r, retrialFailures) && r.failedAt.After(r.passedAt) && now.Sub(r.failedAt) < failureAge:
 		g.eject(now, r)
+	case now.Sub(r.since) >= 2*g.policy.trial:
+		r.recount(now)
 	}
 }
 
--- a/health/record.go
+++ b/health/record.go
@@ -77,6 +77,7 @@
 	others  float64 // Good exchanges that other VMs report.
 	against float64 // Bad exchanges and stalls that other VMs report.
 	voices  int     // Other VMs with a fresh report.
+	ownGood float64 // Good exchanges of this VM.
 	own     float64 // Bad exchanges and stalls of this VM.
 }
 
@@ -166,3 +167,11 @@
 	r.passedAt, r.failedAt = time.Time{}, time.Time{}
 	r.passed, r.failed, r.ownFail, r.mine = 0, 0, false, false
 }
+
+// recount starts the count of exchanges anew, so that a long state ends on
+// recent ones.
+func (r *record) recount(now time.Time) {
+	mine := r.mine
+	r.enter(now, r.state, r.reason)
+	r.mine = mine
+}
