--- a/cmd/azuredeal/process_test.go
+++ b/cmd/azuredeal/process_test.go
@@ -23,7 +23,7 @@
 )
 
 // programs builds both commands once and returns their folder.
-func programs(t *testing.T) string {
+func programs(t testing.TB) string {
 	t.Helper()
 	dir := t.TempDir()
 	build := exec.Command("go", "build", "-o", dir+"/", "../azuredeal", "../standin")
@@ -35,7 +35,7 @@
 
 // process is a program under test with its log lines.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	done chan struct{} // Closed when the process has ended.
 
@@ -44,7 +44,7 @@
 	raw   bytes.Buffer
 }
 
-func startProcess(t *testing.T, name string, args ...string) *process {
+func startProcess(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, cmd: exec.Command(name, args...), done: make(chan struct{})}
 	stderr, err := p.cmd.StderrPipe()
@@ -103,7 +103,7 @@
 
 func (p *process) eventually(what string, ok func() bool) { eventually(p.t, what, ok) }
 
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(pollEvery) {
 		if ok() {
@@ -141,14 +141,14 @@
 
 // site is a platform, workers and entry VMs, each a process of its own.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	platform string
 	workers  []string
 	vms      []*vm
 }
 
-func newSite(t *testing.T, workers, vms int) *site {
+func newSite(t testing.TB, workers, vms int) *site {
 	t.Helper()
 	s := &site{t: t, dir: programs(t)}
 	s.platform = startProcess(t, s.dir+"/standin", "platform", "--latency", "1").field("serving", "addr")
