--- /dev/null
+++ b/member/sim_test.go
@@ -0,0 +1,293 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/azuredeal/azuredeal/store"
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+// sim runs many views in one goroutine on a clock of its own, in steps of a tick.
+type sim struct {
+	now    time.Time
+	zones  int
+	vms    []*simVM
+	byAddr map[string]*simVM
+	cut    func(from, to int) bool
+	dials  []simDial
+	size   bool // Count the bytes of heartbeats.
+}
+
+type simVM struct {
+	index  int
+	view   *View
+	ends   map[LinkID]*simEnd
+	dead   bool
+	paused bool
+
+	messages, bytes int
+	changes         []Change
+}
+
+// simEnd is one end of a link.
+type simEnd struct {
+	vm    *simVM
+	id    LinkID
+	other *simEnd
+	inbox []*wire.Heartbeat
+	ended bool // The other end has closed.
+}
+
+type simDial struct {
+	vm   *simVM
+	addr string
+	at   time.Time
+}
+
+func newSim(zones int) *sim {
+	return &sim{
+		now:    time.Unix(1_000_000, 0),
+		zones:  zones,
+		byAddr: map[string]*simVM{},
+		cut:    func(int, int) bool { return false },
+	}
+}
+
+// add starts a VM with an index of its own.
+func (s *sim) add(i int, seeds ...string) *simVM {
+	id := vmID(i)
+	self := NewMember(id, uint64(s.now.UnixNano())+uint64(i), fmt.Sprintf("zone-%d", i%s.zones),
+		fmt.Sprintf("10.%d.%d.%d:7400", i>>16, i>>8&255, i&255), fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255))
+	v := &simVM{index: i, view: NewView(s.now, self, seeds, uint64(i)+1), ends: map[LinkID]*simEnd{}}
+	s.vms = append(s.vms, v)
+	s.byAddr[self.peer] = v
+	return v
+}
+
+func (s *sim) seeds(n int) []string {
+	var out []string
+	for _, v := range s.vms {
+		if len(out) < n && !v.dead {
+			out = append(out, v.view.self.peer)
+		}
+	}
+	return out
+}
+
+// addKnowing starts n VMs whose views hold all of them already.
+func (s *sim) addKnowing(n int) {
+	for i := range n {
+		s.add(i)
+	}
+	for _, v := range s.vms {
+		for _, o := range s.vms {
+			if o != v {
+				v.view.insert(s.now, o.view.self.Member)
+			}
+		}
+		v.view.changes = nil
+		v.view.started = s.now.Add(-time.Hour)
+		v.view.seeds = s.seeds(3)
+	}
+}
+
+func (s *sim) isUp(v *simVM) bool { return !v.dead && !v.paused }
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.step()
+	}
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(tickEvery)
+	for _, v := range s.vms {
+		if s.isUp(v) {
+			s.tick(v)
+		}
+	}
+	for _, v := range s.vms {
+		if s.isUp(v) {
+			s.deliver(v)
+		}
+	}
+	rest := s.dials[:0]
+	for _, d := range s.dials {
+		if s.now.Before(d.at) {
+			rest = append(rest, d)
+		} else if s.isUp(d.vm) {
+			d.vm.view.DialFailed(s.now, d.addr)
+		}
+	}
+	s.dials = rest
+}
+
+func (s *sim) tick(v *simVM) {
+	p := v.view.Tick(s.now)
+	v.changes = append(v.changes, p.Changes...)
+	for _, id := range p.Close {
+		e := v.ends[id]
+		delete(v.ends, id)
+		v.view.LinkDown(s.now, id)
+		e.other.ended = true
+	}
+	for _, id := range p.Send {
+		e := v.ends[id]
+		h := v.view.Compose(s.now, id, 0)
+		v.messages++
+		if s.size {
+			v.bytes += proto.Size(h)
+		}
+		e.other.inbox = append(e.other.inbox, h)
+	}
+	for _, addr := range p.Dial {
+		s.dial(v, addr)
+	}
+}
+
+func (s *sim) dial(v *simVM, addr string) {
+	o := s.byAddr[addr]
+	if o == nil || !s.isUp(o) || s.cut(v.index, o.index) || s.cut(o.index, v.index) {
+		s.dials = append(s.dials, simDial{vm: v, addr: addr, at: s.now.Add(3 * time.Second)})
+		return
+	}
+	near, far := &simEnd{vm: v}, &simEnd{vm: o}
+	near.other, far.other = far, near
+	near.id = v.view.LinkUp(s.now, o.view.self.wire(), addr)
+	if near.id == 0 {
+		return
+	}
+	v.ends[near.id] = near
+	far.id = o.view.LinkUp(s.now, v.view.self.wire(), "")
+	if far.id == 0 {
+		near.ended = true
+		return
+	}
+	o.ends[far.id] = far
+}
+
+func (s *sim) deliver(v *simVM) {
+	for _, l := range append([]*link{}, v.view.links...) {
+		e := v.ends[l.id]
+		if s.cut(e.other.vm.index, v.index) {
+			continue
+		}
+		inbox := e.inbox
+		e.inbox = nil
+		for _, h := range inbox {
+			v.view.Apply(s.now, e.id, h)
+		}
+		if e.ended {
+			delete(v.ends, e.id)
+			v.view.LinkDown(s.now, e.id)
+		}
+	}
+}
+
+// alive returns how many members a VM holds alive.
+func (v *simVM) alive() int {
+	n := 0
+	for _, r := range v.view.ring {
+		if r.state == Alive {
+			n++
+		}
+	}
+	return n
+}
+
+func (v *simVM) holds(o *simVM) State {
+	if r := v.view.members[o.view.self.id]; r != nil {
+		return r.state
+	}
+	return Unknown
+}
+
+// converge runs until every VM that is up holds exactly the VMs that are up alive.
+func (s *sim) converge(limit time.Duration) bool {
+	up := 0
+	for _, v := range s.vms {
+		if s.isUp(v) {
+			up++
+		}
+	}
+	for end := s.now.Add(limit); s.now.Before(end); s.step() {
+		same := true
+		for _, v := range s.vms {
+			same = same && (!s.isUp(v) || v.alive() == up)
+		}
+		if same {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a partition that outlasts the memory for members that are gone
+// and that neither seeds nor hints bridge, and against old records that bring
+// back dead VMs.
+func TestLongPartitionAndForgottenMembers(t *testing.T) {
+	s := newSim(3)
+	for i := range 8 {
+		s.add(i, s.seeds(3)...)
+	}
+	if !s.converge(time.Minute) {
+		t.Fatal("no common view at the start")
+	}
+	dead, stale := s.vms[2], s.vms[6]
+	stale.paused = true
+	s.run(time.Second)
+	dead.dead = true
+	s.run(forgetAfter + time.Minute)
+	for _, v := range s.vms {
+		if s.isUp(v) && v.holds(dead) != Unknown {
+			t.Fatalf("vm %d has not forgotten the dead VM", v.index)
+		}
+	}
+	stale.paused = false // It holds the dead VM alive.
+	watch := s.vms[0]
+	watch.changes = nil
+	if !s.converge(30 * time.Second) {
+		t.Errorf("no common view after the pause")
+	}
+	for _, c := range watch.changes {
+		if c.Member.ID() == dead.view.self.id {
+			t.Errorf("an old record brought back the dead VM as %v", c.Member.State())
+		}
+	}
+	s.cut = func(from, to int) bool { return (from < 4) != (to < 4) }
+	s.run(forgetAfter + time.Minute)
+	s.cut = func(int, int) bool { return false }
+	for _, v := range s.vms { // The list of the platform leads across.
+		v.view.Hint([]store.VM{{ID: s.vms[0].view.self.id, Peer: s.vms[0].view.self.peer}})
+	}
+	if !s.converge(2 * time.Minute) {
+		t.Error("no common view after a partition longer than forgetAfter")
+	}
+}
+
+// Guards against limits that only show in a large fleet: the loss of a zone must
+// leave no survivor with a wrong view, and no running VM is declared gone.
+func TestZoneLossInLargeFleet(t *testing.T) {
+	s := newSim(6)
+	s.addKnowing(300)
+	s.run(20 * time.Second)
+	for _, v := range s.vms {
+		v.changes = nil
+		v.dead = v.index%6 == 2
+	}
+	s.run(goneAfter + 2*time.Second)
+	if !s.converge(10 * time.Second) {
+		t.Error("survivors hold different views")
+	}
+	for _, v := range s.vms {
+		for _, c := range v.changes {
+			if n := s.byAddr[c.Member.Peer()]; !n.dead && c.Member.State() != Alive {
+				t.Fatalf("vm %d held the running vm %d as %v", v.index, n.index, c.Member.State())
+			}
+		}
+	}
+}
