--- a/deploy/fleet_test.go
+++ b/deploy/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -15,61 +16,100 @@
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/objapi"
 	"github.com/azuredeal/azuredeal/store"
 )
 
-// platform is a store in memory whose calls tests delay, fail and count.
+// platform is the stand-in platform within the process. Tests count its calls
+// and fail its writes.
 type platform struct {
+	*objapi.Server
 	memory *store.Memory
-
-	mu     sync.Mutex
-	down   bool
-	broken chan struct{} // Closed when the platform goes down.
-	calls  map[string]int
-	bytes  int
-	at     []time.Time // Of all calls.
-
-	// before and after see each write; an error becomes the answer.
+	// before and after see the object name of each write; an error is no answer.
 	before, after func(name string) error
+
+	mu      sync.Mutex
+	calls   map[string]int // By kind: read, watch, write, delete.
+	bytes   int            // Written.
+	clients int
+	asked   map[ask]bool
 }
 
+// ask is a second, from the start, in which a client called.
+type ask struct{ client, second int }
+
 func newPlatform() *platform {
-	return &platform{memory: store.NewMemory(), broken: make(chan struct{}), calls: map[string]int{}}
+	memory := store.NewMemory()
+	p := &platform{Server: objapi.New(memory), memory: memory, calls: map[string]int{}, asked: map[ask]bool{}}
+	p.setDown(false)
+	return p
 }
 
+// setDown begins or ends an outage. A call takes the platform's few milliseconds.
 func (p *platform) setDown(down bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = down
+	f := objapi.Faults{Latency: 5}
 	if down {
-		close(p.broken)
-		p.broken = make(chan struct{})
+		f.Outage = objapi.OutageDrop
 	}
+	p.SetFaults(f)
 }
 
-// running returns a context and a function that ends it and lets every goroutine
-// of the bubble see so.
-func running(t *testing.T) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(t.Context())
-	return ctx, func() {
-		cancel()
-		time.Sleep(time.Minute)
-	}
+var errSilent = fault.New(fault.PlatformDown, "no answer")
+
+// client returns a client of its own, as a VM has one.
+func (p *platform) client() *store.Client {
+	p.mu.Lock()
+	p.clients++
+	id := p.clients
+	p.mu.Unlock()
+	begin := time.Now()
+	transport := trip(func(r *http.Request) (*http.Response, error) {
+		p.mu.Lock()
+		p.asked[ask{id, int(time.Since(begin).Seconds())}] = true
+		p.mu.Unlock()
+		return p.serve(r)
+	})
+	return store.NewHTTP("http://platform", &http.Client{Transport: transport}, store.WithRand(locked(uint64(id))))
 }
 
-var errSilent = fault.New(fault.PlatformDown, "no answer")
+type trip func(r *http.Request) (*http.Response, error)
 
-// enter delays a call by the platform's few milliseconds.
-func (p *platform) enter(kind string) (<-chan struct{}, error) {
-	time.Sleep(5 * time.Millisecond)
+func (f trip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func (p *platform) serve(r *http.Request) (*http.Response, error) {
+	name := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	write := r.Method != http.MethodGet
+	switch {
+	case write:
+		p.add("write", int(r.ContentLength))
+	case r.URL.Query().Has("watch"):
+		p.add("watch", 0)
+	default:
+		p.add("read", 0)
+	}
+	if write && p.before != nil {
+		if err := p.before(name); err != nil {
+			return nil, err
+		}
+	}
+	resp, err := p.Transport().RoundTrip(r)
+	if err != nil || !write || resp.StatusCode >= http.StatusBadRequest {
+		return resp, err
+	}
+	if r.Method == http.MethodDelete {
+		p.add("delete", 0)
+	}
+	if p.after != nil {
+		err = p.after(name)
+	}
+	return resp, err
+}
+
+func (p *platform) add(kind string, bytes int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls[kind]++
-	p.at = append(p.at, time.Now())
-	if p.down {
-		return nil, errSilent
-	}
-	return p.broken, nil
+	p.bytes += bytes
 }
 
 func (p *platform) count(kind string) int {
@@ -78,88 +118,27 @@
 	return p.calls[kind]
 }
 
-// busiest returns the most calls in one second, from that time after the first.
-func (p *platform) busiest(after time.Duration) int {
+// busiest returns the most clients that called in one second, from that second.
+func (p *platform) busiest(from int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	perSecond := map[int64]int{}
-	most := 0
-	for _, at := range p.at {
-		if at.Sub(p.at[0]) >= after {
-			perSecond[at.Unix()]++
-			most = max(most, perSecond[at.Unix()])
+	most, clients := 0, map[int]int{}
+	for a := range p.asked {
+		if a.second >= from {
+			clients[a.second]++
+			most = max(most, clients[a.second])
 		}
 	}
 	return most
 }
 
-func (p *platform) write(name string, do func() error) error {
-	if _, err := p.enter("write"); err != nil {
-		return err
-	}
-	if p.before != nil {
-		if err := p.before(name); err != nil {
-			return err
-		}
-	}
-	if err := do(); err != nil || p.after == nil {
-		return err
-	}
-	return p.after(name)
-}
-
-func (p *platform) client() *store.Client {
-	c := p.memory.Client()
-	return &store.Client{
-		Get: func(ctx context.Context, name string) (store.Object, error) {
-			if _, err := p.enter("read"); err != nil {
-				return store.Object{}, err
-			}
-			return c.Get(ctx, name)
-		},
-		Put: func(ctx context.Context, name string, value []byte, cond store.Version) (v store.Version, err error) {
-			err = p.write(name, func() error {
-				p.mu.Lock()
-				p.bytes += len(value)
-				p.mu.Unlock()
-				v, err = c.Put(ctx, name, value, cond)
-				return err
-			})
-			return v, err
-		},
-		Delete: func(ctx context.Context, name string, cond store.Version) error {
-			return p.write(name, func() error {
-				err := c.Delete(ctx, name, cond)
-				if err == nil {
-					p.mu.Lock()
-					p.calls["delete"]++
-					p.mu.Unlock()
-				}
-				return err
-			})
-		},
-		List: func(ctx context.Context, prefix string) ([]store.Entry, error) {
-			if _, err := p.enter("read"); err != nil {
-				return nil, err
-			}
-			return c.List(ctx, prefix)
-		},
-		Watch: func(ctx context.Context, name string, after store.Version) (store.Object, error) {
-			broken, err := p.enter("watch")
-			if err != nil {
-				return store.Object{}, err
-			}
-			ctx, cancel := context.WithCancel(ctx)
-			defer cancel()
-			go func() {
-				select {
-				case <-broken:
-					cancel()
-				case <-ctx.Done():
-				}
-			}()
-			return c.Watch(ctx, name, after)
-		},
+// running returns a context and a function that ends it and lets every goroutine
+// of the bubble see so.
+func running(t *testing.T) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	return ctx, func() {
+		cancel()
+		time.Sleep(time.Minute)
 	}
 }
 
@@ -179,7 +158,7 @@
 
 func silent() *store.Client {
 	p := newPlatform()
-	p.down = true
+	p.setDown(true)
 	return p.client()
 }
 
--- a/deploy/follower_test.go
+++ b/deploy/follower_test.go
@@ -272,7 +272,7 @@
 				v.add(ctx, fmt.Sprint(i), p.client())
 			}
 			time.Sleep(30 * time.Minute)
-			most := p.busiest(2 * time.Minute)
+			most := p.busiest(120)
 			t.Logf("down %v: at most %d of %d VMs ask in one second", down, most, fleet)
 			if most > fleet/10 || most == 0 {
 				t.Errorf("down %v: %d of %d VMs ask in one second", down, most, fleet)
@@ -313,7 +313,7 @@
 		}
 		hasty := p.client()
 		hasty.Watch = func(ctx context.Context, name string, _ store.Version) (store.Object, error) {
-			_, _ = p.enter("hasty")
+			p.add("hasty", 0)
 			return p.memory.Client().Get(ctx, name)
 		}
 		v.add(ctx, "b", hasty).SetWatch(true)
