replay: keep requests that run once away from suspected servers

Cause: most missed deadlines of the gray traces were non-idempotent requests that met a server on trial.

--- a/replay/policy.go
+++ b/replay/policy.go
@@ -32,14 +32,16 @@
 type control struct {
 	views    []view
 	inflight []int
-	pick     func(tried []int) int // -1 when there is no choice.
-	observe  func(now time.Time, server int, s board.Sample)
-	tick     func(now time.Time, flights []board.Flight)
-	probe    func(now time.Time, server int, ok bool)
-	merge    func(now time.Time, from string, reports []health.Report)
-	reports  func(now time.Time) []health.Report
-	hedge    func() time.Duration // 0: no hedge.
-	timeout  time.Duration        // Of one attempt; 0: the deadline only.
+	// pick returns a server, or -1 when there is no choice. once asks for a
+	// server that is not suspected.
+	pick    func(tried []int, once bool) int
+	observe func(now time.Time, server int, s board.Sample)
+	tick    func(now time.Time, flights []board.Flight)
+	probe   func(now time.Time, server int, ok bool)
+	merge   func(now time.Time, from string, reports []health.Report)
+	reports func(now time.Time) []health.Report
+	hedge   func() time.Duration // 0: no hedge.
+	timeout time.Duration        // Of one attempt; 0: the deadline only.
 }
 
 func newControl(policy string, svc *service, origin uint64, now time.Time, random *rand.Rand) *control {
@@ -54,13 +56,13 @@
 	case PolicyRobin:
 		c.pick = c.robin(random.IntN(len(c.views)))
 	case PolicyFive:
-		c.pick = func(tried []int) int { return c.twoChoices(random, tried) }
+		c.pick = func(tried []int, _ bool) int { return c.twoChoices(random, tried, 0) }
 		c.five()
 	case PolicyLeast:
-		c.pick = func(tried []int) int { return c.least(random, tried) }
+		c.pick = func(tried []int, _ bool) int { return c.least(random, tried) }
 		c.timeout = svc.Deadline.Std() / 2
 	default:
-		c.pick = func(tried []int) int { return c.twoChoices(random, tried) }
+		c.pick = func(tried []int, once bool) int { return c.careful(random, tried, once) }
 		c.real(svc, origin, now)
 	}
 	return c
@@ -128,8 +130,8 @@
 	}
 }
 
-func (c *control) robin(next int) func([]int) int {
-	return func(tried []int) int {
+func (c *control) robin(next int) func([]int, bool) int {
+	return func(tried []int, _ bool) int {
 		for range c.views {
 			next = (next + 1) % len(c.views)
 			if !contains(tried, next) {
@@ -161,11 +163,22 @@
 	return best
 }
 
+// careful keeps requests that cannot be repeated away from suspected servers
+// while there are others: trials cost only requests that can be retried.
+func (c *control) careful(random *rand.Rand, tried []int, once bool) int {
+	if once {
+		if i := c.twoChoices(random, tried, usableWeight); i >= 0 {
+			return i
+		}
+	}
+	return c.twoChoices(random, tried, 0)
+}
+
 // twoChoices draws two servers by weight and takes the one with fewer requests
-// in flight over weight.
-func (c *control) twoChoices(random *rand.Rand, tried []int) int {
-	a := c.byWeight(random, tried, -1)
-	b := c.byWeight(random, tried, a)
+// in flight. Servers below the least weight are left out.
+func (c *control) twoChoices(random *rand.Rand, tried []int, least float64) int {
+	a := c.byWeight(random, tried, -1, least)
+	b := c.byWeight(random, tried, a, least)
 	if a < 0 || b < 0 {
 		return max(a, b)
 	}
@@ -175,10 +188,10 @@
 	return a
 }
 
-func (c *control) byWeight(random *rand.Rand, tried []int, not int) int {
+func (c *control) byWeight(random *rand.Rand, tried []int, not int, least float64) int {
 	total := 0.0
 	for i := range c.views {
-		if i != not && !contains(tried, i) {
+		if c.open(i, tried, not, least) {
 			total += c.views[i].weight
 		}
 	}
@@ -187,7 +200,7 @@
 	}
 	left, last := random.Float64()*total, -1
 	for i := range c.views {
-		if i == not || contains(tried, i) || c.views[i].weight == 0 {
+		if !c.open(i, tried, not, least) {
 			continue
 		}
 		last = i
@@ -198,6 +211,11 @@
 	return last
 }
 
+func (c *control) open(i int, tried []int, not int, least float64) bool {
+	w := c.views[i].weight
+	return w > 0 && w >= least && i != not && !contains(tried, i)
+}
+
 func contains(list []int, x int) bool {
 	for _, v := range list {
 		if v == x {
--- a/replay/vm.go
+++ b/replay/vm.go
@@ -92,7 +92,7 @@
 func (r *request) attempt() bool {
 	v, s := r.vm, r.vm.sim
 	c := v.controls[r.service.index]
-	i := c.pick(r.tried)
+	i := c.pick(r.tried, r.once)
 	if i < 0 {
 		return false
 	}
