health: assume some good exchanges in the rate of a zone

Cause: with few requests a second, one bad exchange in two zones looked like a failing service. Change: the rate of a zone assumes 8 more good exchanges.

--- a/health/baseline.go
+++ b/health/baseline.go
@@ -16,6 +16,7 @@
 	badAtLeast    = 0.01
 	badAtMost     = 0.75
 	trimShare     = 0.25 // Worst servers left out of the rate of the service.
+	rateInertia   = 8    // Good exchanges that a rate assumes, so that one bad one is no trend.
 	refreshPeriod = time.Second
 	sampleServers = 512 // Servers whose medians are compared at most.
 )
@@ -138,8 +139,5 @@
 }
 
 func (z *zoneCount) rate() float64 {
-	if z.good+z.bad < 1 {
-		return 0
-	}
-	return z.bad / (z.good + z.bad)
+	return z.bad / (z.good + z.bad + rateInertia)
 }
