--- a/deploy/fleet_test.go
+++ b/deploy/fleet_test.go
@@ -7,265 +7,232 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/objapi"
 	"github.com/azuredeal/azuredeal/store"
 )
 
-// platform is a store in memory whose calls tests delay, fail and count.
+// platform is the stand-in platform within the process. Tests count its calls
+// and fail its writes.
 type platform struct {
+	*objapi.Server
 	memory *store.Memory
-
-	mu     sync.Mutex
-	down   bool
-	broken chan struct{} // Closed when the platform goes down.
-	calls  map[string]int
-	bytes  int
-	at     []time.Time // Of all calls.
-
-	// before and after see each write; an error becomes the answer.
+	// before and after see the object name of each write; an error is no answer.
 	before, after func(name string) error
+
+	mu      sync.Mutex
+	calls   map[string]int // By kind: read, watch, write, delete.
+	bytes   int            // Written.
+	clients int
+	asked   map[ask]bool
 }
 
+// ask is a second, from the start, in which a client called.
+type ask struct{ client, second int }
+
 func newPlatform() *platform {
-	return &platform{memory: store.NewMemory(), broken: make(chan struct{}), calls: map[string]int{}}
+	memory := store.NewMemory()
+	p := &platform{Server: objapi.New(memory), memory: memory, calls: map[string]int{}, asked: map[ask]bool{}}
+	p.setDown(false)
+	return p
 }
 
+// setDown begins or ends an outage. A call takes the platform's few milliseconds.
 func (p *platform) setDown(down bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = down
+	f := objapi.Faults{Latency: 5}
 	if down {
-		close(p.broken)
-		p.broken = make(chan struct{})
-	}
-}
-
-// running returns a context and a function that ends it and lets every goroutine
-// of the bubble see so.
-func running(t *testing.T) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(t.Context())
-	return ctx, func() {
-		cancel()
-		time.Sleep(time.Minute)
+		f.Outage = objapi.OutageDrop
 	}
+	p.SetFaults(f)
 }
 
 var errSilent = fault.New(fault.PlatformDown, "no answer")
 
-// enter delays a call by the platform's few milliseconds.
-func (p *platform) enter(kind string) (<-chan struct{}, error) {
-	time.Sleep(5 * time.Millisecond)
+// client returns a client of its own, as a VM has one.
+func (p *platform) client() *store.Client {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.calls[kind]++
-	p.at = append(p.at, time.Now())
-	if p.down {
-		return nil, errSilent
-	}
-	return p.broken, nil
+	p.clients++
+	id := p.clients
+	p.mu.Unlock()
+	begin := time.Now()
+	transport := trip(func(r *http.Request) (*http.Response, error) {
+		p.mu.Lock()
+		p.asked[ask{id, int(time.Since(begin).Seconds())}] = true
+		p.mu.Unlock()
+		return p.serve(r)
+	})
+	return store.NewHTTP("http://platform", &http.Client{Transport: transport}, store.WithRand(locked(uint64(id))))
 }
 
-func (p *platform) count(kind string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.calls[kind]
-}
+type trip func(r *http.Request) (*http.Response, error)
 
-// busiest returns the most calls in one second, from that time after the first.
-func (p *platform) busiest(after time.Duration) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	perSecond := map[int64]int{}
-	most := 0
-	for _, at := range p.at {
-		if at.Sub(p.at[0]) >= after {
-			perSecond[at.Unix()]++
-			most = max(most, perSecond[at.Unix()])
-		}
-	}
-	return most
-}
+func (f trip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
 
-func (p *platform) write(name string, do func() error) error {
-	if _, err := p.enter("write"); err != nil {
-		return err
+func (p *platform) serve(r *http.Request) (*http.Response, error) {
+	name := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
+	write := r.Method != http.MethodGet
+	switch {
+	case write:
+		p.add("write", int(r.ContentLength))
+	case r.URL.Query().Has("watch"):
+		p.add("watch", 0)
+	default:
+		p.add("read", 0)
 	}
-	if p.before != nil {
+	if write && p.before != nil {
 		if err := p.before(name); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	if err := do(); err != nil || p.after == nil {
-		return err
+	resp, err := p.Transport().RoundTrip(r)
+	if err != nil || !write || resp.StatusCode >= http.StatusBadRequest {
+		return resp, err
 	}
-	return p.after(name)
-}
-
-func (p *platform) client() *store.Client {
-	c := p.memory.Client()
-	return &store.Client{
-		Get: func(ctx context.Context, name string) (store.Object, error) {
-			if _, err := p.enter("read"); err != nil {
-				return store.Object{}, err
-			}
-			return c.Get(ctx, name)
-		},
-		Put: func(ctx context.Context, name string, value []byte, cond store.Version) (v store.Version, err error) {
-			err = p.write(name, func() error {
-				p.mu.Lock()
-				p.bytes += len(value)
-				p.mu.Unlock()
-				v, err = c.Put(ctx, name, value, cond)
-				return err
-			})
-			return v, err
-		},
-		Delete: func(ctx context.Context, name string, cond store.Version) error {
-			return p.write(name, func() error {
-				err := c.Delete(ctx, name, cond)
-				if err == nil {
-					p.mu.Lock()
-					p.calls["delete"]++
-					p.mu.Unlock()
-				}
-				return err
-			})
-		},
-		List: func(ctx context.Context, prefix string) ([]store.Entry, error) {
-			if _, err := p.enter("read"); err != nil {
-				return nil, err
-			}
-			return c.List(ctx, prefix)
-		},
-		Watch: func(ctx context.Context, name string, after store.Version) (store.Object, error) {
-			broken, err := p.enter("watch")
-			if err != nil {
-				return store.Object{}, err
-			}
-			ctx, cancel := context.WithCancel(ctx)
-			defer cancel()
-			go func() {
-				select {
-				case <-broken:
-					cancel()
-				case <-ctx.Done():
-				}
-			}()
-			return c.Watch(ctx, name, after)
-		},
+	if r.Method == http.MethodDelete {
+		p.add("delete", 0)
+	}
+	if p.after != nil {
+		err = p.after(name)
 	}
+	return resp, err
 }
 
-// names returns the objects below a prefix.
-func (p *platform) names(t testing.TB, prefix string) []string {
-	t.Helper()
-	list, err := p.memory.Client().List(t.Context(), prefix)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var out []string
-	for _, e := range list {
-		out = append(out, e.Name)
-	}
-	return out
+func (p *platform) add(kind string, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[kind]++
+	p.bytes += bytes
 }
 
-func silent() *store.Client {
-	p := newPlatform()
-	p.down = true
-	return p.client()
+func (p *platform) count(kind string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[kind]
 }
 
-// locked returns a fixed sequence of numbers in [0, 1) for several goroutines.
-func locked(seed uint64) func() float64 {
-	var mu sync.Mutex
-	random := rand.New(rand.NewPCG(seed, seed))
-	return func() float64 {
-		mu.Lock()
-		defer mu.Unlock()
-		return random.Float64()
+// busiest returns the most clients that called in one second, from that second.
+func (p *platform) busiest(from int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most, clients := 0, map[int]int{}
+	for a := range p.asked {
+		if a.second >= from {
+			clients[a.second]++
+			most = max(most, clients[a.second])
+		}
 	}
+	return most
 }
 
-func publisher(p *platform, seed uint64) *deploy.Publisher {
-	pub := deploy.NewPublisher(p.client())
-	pub.Rand = locked(seed)
-	return pub
-}
+// world is a platform, a publisher and VMs under a paused clock. The VMs are
+// linked as a full mesh, but for the pairs that are cut.
+type world struct {
+	*testing.T
+	ctx context.Context
+	p   *platform
+	pub *deploy.Publisher
 
-// vms is a group of followers linked as a full mesh, but for blocked pairs.
-type vms struct {
 	mu   sync.Mutex
 	list map[string]*deploy.Follower
 	cut  func(from, to string) bool
 	hang string // Peers that receive and never answer; set before the VMs start.
 }
 
-func newVMs() *vms {
-	return &vms{list: map[string]*deploy.Follower{}, cut: func(string, string) bool { return false }}
+// simulate runs fn in a world whose first release has that many routes.
+func simulate(t *testing.T, routes int, fn func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute) // Every goroutine of the bubble sees the end.
+		}()
+		p := newPlatform()
+		w := &world{T: t, ctx: ctx, p: p, pub: publisher(p, 1), list: map[string]*deploy.Follower{}}
+		w.block(func(string, string) bool { return false })
+		w.publish(first(routes))
+		fn(w)
+	})
 }
 
-// block replaces the pairs of VMs that do not reach each other.
-func (v *vms) block(cut func(from, to string) bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.cut = cut
+// publish publishes a note that has to be accepted.
+func (w *world) publish(n *note.Note) uint64 {
+	w.Helper()
+	generation, err := w.pub.Publish(w.ctx, n)
+	if err != nil {
+		w.Fatal(err)
+	}
+	return generation
 }
 
-func (v *vms) blocked(from, to string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.cut(from, to)
+// whole returns the generation that a VM without a release can load, 0 when a
+// part of it is missing.
+func (w *world) whole() uint64 {
+	ctx, cancel := context.WithCancel(w.ctx)
+	defer cancel()
+	f := deploy.NewFollower(w.p.memory.Client())
+	go func() { _ = f.Run(ctx) }()
+	time.Sleep(10 * time.Second)
+	return f.Generation()
 }
 
-// all returns the VMs as they are now.
-func (v *vms) all() map[string]*deploy.Follower {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return maps.Clone(v.list)
+// block replaces the pairs of VMs that do not reach each other.
+func (w *world) block(cut func(from, to string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
 }
 
-// add starts a follower, after it was prepared; it runs until ctx ends.
-func (v *vms) add(
-	ctx context.Context, id string, client *store.Client, prepare ...func(*deploy.Follower),
-) *deploy.Follower {
+// vms returns the VMs as they are now, without those that peer does not reach.
+func (w *world) vms(peer string) map[string]*deploy.Follower {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := maps.Clone(w.list)
+	maps.DeleteFunc(out, func(id string, _ *deploy.Follower) bool { return w.cut(peer, id) || w.cut(id, peer) })
+	return out
+}
+
+// start starts a VM, after it was prepared.
+func (w *world) start(id string, client *store.Client, prepare ...func(*deploy.Follower)) *deploy.Follower {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	f := deploy.NewFollower(client)
-	f.Rand = locked(uint64(len(v.list) + 1))
+	f.Rand = locked(uint64(len(w.list) + 1))
 	f.Fetch = func(ctx context.Context, peer string, digests [][]byte) ([]byte, [][]byte, error) {
 		time.Sleep(2 * time.Millisecond)
-		if strings.Contains(v.hang, peer) {
+		if strings.Contains(w.hang, peer) {
 			<-ctx.Done()
 		}
-		if ctx.Err() != nil || v.blocked(peer, id) || v.blocked(id, peer) {
+		from, ok := w.vms(id)[peer]
+		if ctx.Err() != nil || !ok {
 			return nil, nil, errors.New("no link")
 		}
-		head, chunks := v.all()[peer].Serve(digests)
+		head, chunks := from.Serve(digests)
 		return head, chunks, nil
 	}
 	for _, fn := range prepare {
 		fn(f)
 	}
-	v.mu.Lock()
-	v.list[id] = f
-	v.mu.Unlock()
-	go func() { _ = f.Run(ctx) }()
+	w.list[id] = f
+	go func() { _ = f.Run(w.ctx) }()
 	return f
 }
 
-// beat exchanges heartbeats every 500 ms until ctx ends.
-func (v *vms) beat(ctx context.Context) {
-	for ctx.Err() == nil {
-		list := v.all()
-		for from, f := range list {
-			for to, g := range list {
-				if from != to && !v.blocked(from, to) {
+// beat exchanges heartbeats every 500 ms.
+func (w *world) beat() {
+	for w.ctx.Err() == nil {
+		for from, f := range w.vms("") {
+			for to, g := range w.vms(from) {
+				if from != to {
 					g.Offer(from, f.Generation())
 				}
 			}
@@ -275,12 +242,12 @@
 }
 
 // reach waits until every VM has the generation and returns how long that took.
-func (v *vms) reach(t *testing.T, generation uint64, bound time.Duration) time.Duration {
-	t.Helper()
+func (w *world) reach(generation uint64, bound time.Duration) time.Duration {
+	w.Helper()
 	begin := time.Now()
 	for time.Since(begin) <= bound {
 		done := true
-		for _, f := range v.all() {
+		for _, f := range w.vms("") {
 			done = done && f.Generation() == generation
 		}
 		if done {
@@ -288,13 +255,42 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	for id, f := range v.all() {
-		t.Errorf("%s: %+v", id, f.Dump())
+	for id, f := range w.vms("") {
+		w.Errorf("%s: %+v", id, f.Dump())
 	}
-	t.Fatalf("generation %d is not in effect everywhere within %v", generation, bound)
+	w.Fatalf("generation %d is not in effect everywhere within %v", generation, bound)
 	return 0
 }
 
+// chunks counts the chunk objects.
+func (p *platform) chunks() int {
+	list, _ := p.memory.Client().List(context.Background(), "release/chunk/")
+	return len(list)
+}
+
+func silent() *store.Client {
+	p := newPlatform()
+	p.setDown(true)
+	return p.client()
+}
+
+// locked returns a fixed sequence of numbers in [0, 1) for several goroutines.
+func locked(seed uint64) func() float64 {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, seed))
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.Float64()
+	}
+}
+
+func publisher(p *platform, seed uint64) *deploy.Publisher {
+	pub := deploy.NewPublisher(p.client())
+	pub.Rand = locked(seed)
+	return pub
+}
+
 func server(i int) note.Server {
 	return note.Server{Addr: fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255), Zone: fmt.Sprintf("z%d", i%6)}
 }
@@ -335,15 +331,6 @@
 	}
 }
 
-func mustPublish(t testing.TB, p *deploy.Publisher, n *note.Note) uint64 {
-	t.Helper()
-	generation, err := p.Publish(t.Context(), n)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return generation
-}
-
 func isHead(name string) bool { return name == "release/head" }
 
 func isChunk(name string) bool { return strings.HasPrefix(name, "release/chunk/") }
