--- /dev/null
+++ b/entry/assemble.go
@@ -0,0 +1,248 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/azuredeal/azuredeal/admin"
+	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/conf"
+	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/member"
+	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/peer"
+	"github.com/azuredeal/azuredeal/proxy"
+	"github.com/azuredeal/azuredeal/store"
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+const (
+	ledgerKeys  = 200_000  // Keys of one hour at about 50 a second.
+	ledgerBytes = 16 << 20 // Of answers that are kept.
+)
+
+// part returns a part of the VM. Parts that use each other, such as peers and
+// members, look their partner up with it when they are called. The container that
+// a provider is given would refuse that as a circular dependency, as it remembers
+// who asked for whom.
+func part[T any](v *VM) T { return do.MustInvoke[T](v.parts) }
+
+// assemble registers the parts.
+func (v *VM) assemble(ctx context.Context, counters *metrics.Set) {
+	i := do.New()
+	v.parts = i
+	do.ProvideValue(i, counters)
+	do.Provide(i, func(do.Injector) (*store.Client, error) {
+		return store.NewHTTP(v.settings.Platform.URL, http.DefaultClient), nil
+	})
+	do.Provide(i, func(do.Injector) (*board.Board, error) { return board.New(v.health.controller()), nil })
+	do.Provide(i, v.newProxy)
+	do.Provide(i, v.newPeer)
+	do.Provide(i, v.newMembers)
+	do.Provide(i, func(do.Injector) (*idem.Ledger, error) { return idem.NewLedger(ctx, ledgerKeys, ledgerBytes), nil })
+	do.Provide(i, func(do.Injector) (*idem.Guard, error) { return v.newGuard(ctx) })
+	do.Provide(i, func(do.Injector) (*deploy.Follower, error) { return v.newFollower(ctx) })
+	do.Provide(i, v.newPublisher)
+	do.Provide(i, v.newAdmin)
+	handler := part[*proxy.Handler](v)
+	v.health.flights, v.health.apply = handler.Flights, handler.SetWeights
+	v.callers = v.newCallers()
+	v.registerGauges(counters)
+	v.probes = newProbes(ctx, newProber(v.Alive, func(service, server string, ok bool, took time.Duration) {
+		_ = part[*board.Board](v).Do(ctx, func(now time.Time) { v.health.probe(now, service, server, ok, took) })
+	}))
+}
+
+func (v *VM) newProxy(do.Injector) (*proxy.Handler, error) {
+	// These two serve every request, so they are looked up once.
+	control, guard := part[*board.Board](v), part[*idem.Guard](v)
+	return proxy.New(proxy.Options{
+		Zone:           v.settings.Zone,
+		Seed:           v.incarnation,
+		AnonymousRate:  v.settings.Limits.Rate,
+		AnonymousBurst: v.settings.Limits.Burst,
+		BodyTime:       v.settings.Limits.Read.Std(),
+		Sample:         func(s board.Sample) { control.Post(s) },
+		Once:           guard.Do,
+		Metrics:        part[*metrics.Set](v),
+	}), nil
+}
+
+func (v *VM) newPeer(do.Injector) (*peer.Peer, error) {
+	files, err := readPeerFiles(v.settings.Peer)
+	if err != nil {
+		return nil, err
+	}
+	members := func() *member.Service { return part[*member.Service](v) }
+	return peer.New(peer.Options{
+		Key:     []byte(v.settings.Peer.Secret),
+		CA:      files[0],
+		Cert:    files[1],
+		CertKey: files[2],
+		Self:    func() *wire.Member { return members().Record() },
+		Listen:  func() (net.Listener, error) { return v.listeners.peer, nil },
+		OnFetch: func(_ context.Context, f *wire.Fetch) (*wire.Chunks, error) {
+			head, chunks := part[*deploy.Follower](v).Serve(f.GetDigests())
+			return &wire.Chunks{Head: head, Chunks: chunks}, nil
+		},
+		OnForward: func(ctx context.Context, f *wire.Forward) (*wire.Reply, error) {
+			return v.serveForward(ctx, f), nil
+		},
+		OnHeartbeat: func(l *peer.Link, h *wire.Heartbeat) { members().OnHeartbeat(l, h) },
+		OnLink:      func(l *peer.Link, up bool) { members().OnLink(l, up) },
+		Metrics:     part[*metrics.Set](v),
+	})
+}
+
+// serveForward runs a request that another VM handed over as this VM owns its key.
+func (v *VM) serveForward(ctx context.Context, f *wire.Forward) *wire.Reply {
+	guard := part[*idem.Guard](v)
+	handler := part[*proxy.Handler](v)
+	return guard.Serve(ctx, f, func(ctx context.Context) (*idem.Answer, error) {
+		return handler.Dispatch(ctx, idem.CallOf(f))
+	})
+}
+
+// readPeerFiles returns the PEM data of CA, certificate and key; all nil when
+// settings name none.
+func readPeerFiles(p conf.Peer) ([3][]byte, error) {
+	var out [3][]byte
+	for n, name := range []string{p.CA, p.Cert, p.Key} {
+		if name == "" {
+			continue
+		}
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return out, errors.Wrap(err, "certificates for peers")
+		}
+		out[n] = data
+	}
+	return out, nil
+}
+
+func (v *VM) newMembers(do.Injector) (*member.Service, error) {
+	b := part[*board.Board](v)
+	return member.New(member.Options{
+		Self:  member.NewMember(v.settings.Name, v.incarnation, v.settings.Zone, v.PeerAddr(), v.EntryAddr()),
+		Seeds: v.settings.Peer.Seeds,
+		Link: func(ctx context.Context, addr string) (*peer.Link, error) {
+			return part[*peer.Peer](v).Link(ctx, addr)
+		},
+		Hints:      part[*store.Client](v).VMs,
+		Reports:    v.health.published,
+		Generation: func() uint64 { return part[*deploy.Follower](v).Generation() },
+		OnReports: func(reports []*wire.Report) {
+			_ = b.Do(context.Background(), func(now time.Time) { v.health.merge(now, reports) })
+		},
+		OnGeneration: func(addr string, generation uint64) {
+			part[*deploy.Follower](v).Offer(addr, generation)
+		},
+		OnChange:   v.logMember,
+		OnReplaced: func() { v.Drain() },
+		Metrics:    part[*metrics.Set](v),
+	}), nil
+}
+
+func (v *VM) logMember(c member.Change) {
+	v.log.Info().Str("member", c.Member.ID()).Str("zone", c.Member.Zone()).
+		Stringer("before", c.From).Stringer("state", c.Member.State()).Msg("member changed state")
+}
+
+func (v *VM) newGuard(ctx context.Context) (*idem.Guard, error) {
+	self := idem.NewOwner(v.incarnation, v.PeerAddr())
+	guard := idem.NewGuard(
+		idem.NewKeys([]byte(v.settings.Peer.Secret), self),
+		part[*idem.Ledger](v),
+		idem.NewClaims(ctx, part[*store.Client](v), self),
+	)
+	guard.Forward = func(ctx context.Context, addr string, f *wire.Forward) (*wire.Reply, error) {
+		return part[*peer.Peer](v).Forward(ctx, addr, f)
+	}
+	return guard, nil
+}
+
+func (v *VM) newFollower(ctx context.Context) (*deploy.Follower, error) {
+	f := deploy.NewFollower(part[*store.Client](v))
+	f.Apply = func(rel *note.Release) { v.applyRelease(ctx, rel) }
+	f.Fetch = func(ctx context.Context, addr string, digests [][]byte) (head []byte, chunks [][]byte, err error) {
+		reply, err := part[*peer.Peer](v).Fetch(ctx, addr, &wire.Fetch{Digests: digests})
+		return reply.GetHead(), reply.GetChunks(), err
+	}
+	f.Rand = rand.Float64
+	return f, nil
+}
+
+// applyRelease puts a release into effect: routes first, so that callers of new
+// routes are served, then the health decisions.
+func (v *VM) applyRelease(ctx context.Context, rel *note.Release) {
+	local := localize(rel, v.settings.Name)
+	part[*proxy.Handler](v).SetRelease(local)
+	_ = part[*board.Board](v).Do(ctx, func(now time.Time) { v.health.setRelease(now, local) })
+	v.probes.set(local.Services())
+	v.log.Info().Uint64("generation", rel.Generation()).Msg("release in effect")
+}
+
+func (v *VM) newPublisher(do.Injector) (*deploy.Publisher, error) {
+	p := deploy.NewPublisher(part[*store.Client](v))
+	p.Current = part[*deploy.Follower](v).Release
+	p.Rand = rand.Float64
+	return p, nil
+}
+
+// publish takes in a release note from an operator.
+func (v *VM) publish(ctx context.Context, data []byte) (uint64, error) {
+	n, err := note.Parse(data)
+	if err != nil {
+		return 0, err
+	}
+	generation, err := part[*deploy.Publisher](v).Publish(ctx, n)
+	if err != nil {
+		return 0, err
+	}
+	v.log.Info().Str("note", n.ID).Uint64("generation", generation).Msg("release note accepted")
+	return generation, nil
+}
+
+func (v *VM) newAdmin(do.Injector) (*operators, error) {
+	return &operators{admin.New(admin.Options{
+		Token:   v.settings.Admin.Token,
+		Publish: v.publish,
+		Dump:    func(ctx context.Context) (any, error) { return v.Dump(ctx) },
+		Ready:   v.ready,
+		Gauges:  func(w http.ResponseWriter) { part[*metrics.Set](v).WritePrometheus(w) },
+	})}, nil
+}
+
+func (v *VM) ready() error {
+	if v.Generation() == 0 {
+		return fault.New(fault.NotReady, "no release yet")
+	}
+	if v.callers.leaving.Load() {
+		return fault.New(fault.Stopping, "leaving")
+	}
+	return nil
+}
+
+func (v *VM) newCallers() *callers {
+	keys := idem.NewKeys([]byte(v.settings.Peer.Secret), idem.NewOwner(v.incarnation, v.PeerAddr()))
+	return &callers{
+		addresses: v.addresses,
+		issue: func(count int) []string {
+			return lo.Times(count, func(int) string { return keys.Issue(time.Now()) })
+		},
+		ttl:   v.settings.Drain.TTL.Std(),
+		life:  idem.KeyLife,
+		proxy: part[*proxy.Handler](v),
+	}
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -179,7 +179,7 @@
 	s.makeRoom()
 }
 
-// Flights returns what is in flight at each backend server.
+// Flights returns what is in flight; a backend server with nothing is left out.
 func (h *Handler) Flights() []board.Flight {
 	st := h.state.Load()
 	if st == nil {
@@ -254,15 +254,29 @@
 		count = c.service.count
 		defer c.drop()
 	}
-	if err == nil {
+	refuse := fault.Write
+	switch {
+	case err == nil:
 		err = h.answer(w, r, c)
+	case mayHaveRun(r, err):
+		refuse = fault.WriteUnsure
 	}
 	if err == nil {
 		count.whole.Inc()
 		return
 	}
 	count.fault(fault.Of(err))
-	fault.Write(w, err, id)
+	refuse(w, err, id)
+}
+
+// mayHaveRun reports whether an earlier request with the key of r may have run,
+// when r was refused before its key was looked up. A key that is missing or
+// malformed never ran.
+func mayHaveRun(r *http.Request, err error) bool {
+	if r.Header.Get(HeaderKey) == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return false
+	}
+	return fault.Of(err) != fault.KeyInvalid
 }
 
 // answer runs an accepted call and writes its response. An error means that
--- /dev/null
+++ b/strict/strict.go
@@ -0,0 +1,308 @@
+// Package strict decodes JSON settings and collects every problem in one pass.
+// encoding/json alone accepts repeated field names, names in another case and
+// null, and stops at the first error; an operator who mends a file wants the
+// whole list.
+package strict
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+const maxName = 64 // Bytes of a field name that a path repeats.
+
+type decoder struct {
+	dec      *json.Decoder
+	root     string
+	problems Problems
+	broken   bool // The rest is not JSON.
+}
+
+var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
+
+// Decode reads one JSON object of at most limit bytes into the struct that v
+// points to and returns every problem. root names the whole input in paths.
+// Fields that the input lacks or that have a problem keep their value.
+func Decode(root string, data []byte, limit int, v any) Problems {
+	d := &decoder{dec: json.NewDecoder(bytes.NewReader(data)), root: root}
+	if len(data) > limit {
+		d.problems.Add(root, fmt.Sprintf("%d bytes", len(data)), "at most %d bytes", limit)
+		return d.problems
+	}
+	d.dec.UseNumber()
+	if token, ok := d.next(""); ok {
+		d.value("", token, reflect.ValueOf(v).Elem())
+	}
+	if d.broken {
+		return d.problems
+	}
+	end := d.dec.InputOffset()
+	if _, err := d.dec.Token(); !errors.Is(err, io.EOF) {
+		d.problems.Add(root, fmt.Sprintf("data after byte %d", end), "one JSON object")
+	}
+	return d.problems
+}
+
+func (d *decoder) add(path string, value any, allowed string) {
+	if path == "" {
+		path = d.root
+	}
+	d.problems.Add(path, value, "%s", allowed)
+}
+
+// next reads a token; it reports false once the document is not JSON.
+func (d *decoder) next(path string) (json.Token, bool) {
+	if d.broken {
+		return nil, false
+	}
+	token, err := d.dec.Token()
+	if err != nil {
+		d.broken = true
+		d.add(path, fmt.Sprintf("%v at byte %d", err, d.dec.InputOffset()), "JSON")
+		return nil, false
+	}
+	return token, true
+}
+
+// value decodes the value that token starts.
+func (d *decoder) value(path string, token json.Token, v reflect.Value) {
+	_, nested := token.(json.Delim)
+	switch {
+	case token == nil:
+		d.wrong(path, token, describe(v.Type()))
+	case hasUnmarshaler(v.Type()) && !nested:
+		d.custom(path, token, v)
+	case v.Kind() == reflect.Struct && token == json.Delim('{'):
+		d.object(path, v)
+	case v.Kind() == reflect.Slice && token == json.Delim('['):
+		d.array(path, v)
+	case nested || v.Kind() == reflect.Struct || v.Kind() == reflect.Slice:
+		d.wrong(path, token, describe(v.Type()))
+	default:
+		d.scalar(path, token, v)
+	}
+}
+
+func hasUnmarshaler(t reflect.Type) bool { return reflect.PointerTo(t).Implements(unmarshaler) }
+
+// describe says which JSON value a type takes.
+func describe(t reflect.Type) string {
+	switch {
+	case t.Name() == "Duration":
+		return `a duration such as "1.5s"`
+	case t.Kind() == reflect.Struct:
+		return "an object"
+	case t.Kind() == reflect.Slice:
+		return "an array"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.String:
+		return "a string"
+	default:
+		return "a number"
+	}
+}
+
+// presetter is a type whose defaults have to be in place before its fields are
+// read.
+type presetter interface{ Preset() }
+
+func (d *decoder) object(path string, v reflect.Value) {
+	if p, ok := v.Addr().Interface().(presetter); ok {
+		p.Preset()
+	}
+	seen := map[string]bool{}
+	for d.dec.More() {
+		token, ok := d.next(path)
+		if !ok {
+			return
+		}
+		name, _ := token.(string)
+		inner := join(path, name)
+		if token, ok = d.next(inner); !ok {
+			return
+		}
+		index, known := fieldOf(v.Type(), name)
+		switch {
+		case !known:
+			d.wrong(inner, token, "one of the fields "+strings.Join(namesOf(v.Type()), ", "))
+		case seen[name]:
+			d.wrong(inner, token, "the field once")
+		default:
+			d.value(inner, token, v.Field(index))
+		}
+		seen[name] = true
+	}
+	d.next(path) // The closing brace.
+}
+
+func (d *decoder) array(path string, v reflect.Value) {
+	out := reflect.MakeSlice(v.Type(), 0, 0)
+	for i := 0; d.dec.More(); i++ {
+		inner := path + "[" + strconv.Itoa(i) + "]"
+		token, ok := d.next(inner)
+		if !ok {
+			return
+		}
+		out = reflect.Append(out, reflect.Zero(v.Type().Elem()))
+		d.value(inner, token, out.Index(i))
+	}
+	v.Set(out)
+	d.next(path) // The closing bracket.
+}
+
+// custom hands the value to the type's own decoder.
+func (d *decoder) custom(path string, token json.Token, v reflect.Value) {
+	text, err := json.Marshal(token)
+	if err == nil {
+		err = v.Addr().Interface().(json.Unmarshaler).UnmarshalJSON(text)
+	}
+	if err != nil {
+		d.add(path, token, describe(v.Type()))
+	}
+}
+
+func (d *decoder) scalar(path string, token json.Token, v reflect.Value) {
+	switch t := token.(type) {
+	case bool:
+		if v.Kind() == reflect.Bool {
+			v.SetBool(t)
+			return
+		}
+	case string:
+		if v.Kind() == reflect.String {
+			v.SetString(t)
+			return
+		}
+	case json.Number:
+		if v.CanInt() || v.CanUint() || v.CanFloat() {
+			d.number(path, t, v)
+			return
+		}
+	}
+	d.add(path, token, describe(v.Type()))
+}
+
+func (d *decoder) number(path string, n json.Number, v reflect.Value) {
+	var err error
+	allowed := "a whole number"
+	switch {
+	case v.CanFloat():
+		var f float64
+		if f, err = strconv.ParseFloat(n.String(), 64); err == nil {
+			v.SetFloat(f)
+		}
+		allowed = "a number that fits 64 bits"
+	case v.CanInt():
+		var i int64
+		if i, err = strconv.ParseInt(n.String(), 10, v.Type().Bits()); err == nil {
+			v.SetInt(i)
+		}
+	default:
+		var u uint64
+		if u, err = strconv.ParseUint(n.String(), 10, v.Type().Bits()); err == nil {
+			v.SetUint(u)
+		}
+		allowed = "a whole number from 0"
+	}
+	if err != nil {
+		d.add(path, n, allowed)
+	}
+}
+
+// wrong adds a problem and skips the value that token starts.
+func (d *decoder) wrong(path string, token json.Token, allowed string) {
+	text := fmt.Sprint(token)
+	if token == nil {
+		text = "null"
+	}
+	d.add(path, text, allowed)
+	depth := nesting(token)
+	for depth > 0 {
+		inner, ok := d.next(path)
+		if !ok {
+			return
+		}
+		depth += nesting(inner)
+	}
+}
+
+func nesting(token json.Token) int {
+	switch token {
+	case json.Delim('{'), json.Delim('['):
+		return 1
+	case json.Delim('}'), json.Delim(']'):
+		return -1
+	}
+	return 0
+}
+
+func join(path, name string) string {
+	name = shorten(name, maxName)
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// fieldOf returns the index of the field with that JSON name.
+func fieldOf(t reflect.Type, name string) (int, bool) {
+	for i := range t.NumField() {
+		if tagName(t.Field(i)) == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func namesOf(t reflect.Type) []string {
+	out := make([]string, 0, t.NumField())
+	for i := range t.NumField() {
+		out = append(out, tagName(t.Field(i)))
+	}
+	return out
+}
+
+func tagName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+// Field describes one field of a format, for pages that list them.
+type Field struct {
+	path string
+	kind string
+}
+
+// Path returns the path of the field, with "[]" after a list.
+func (f Field) Path() string { return f.path }
+
+// Kind says what the field holds.
+func (f Field) Kind() string { return f.kind }
+
+// Fields lists the fields of the struct v, depth first, in order of declaration.
+func Fields(v any) []Field {
+	var out []Field
+	walk(reflect.TypeOf(v), "", &out)
+	return out
+}
+
+func walk(t reflect.Type, prefix string, out *[]Field) {
+	for i := range t.NumField() {
+		path, ft := prefix+tagName(t.Field(i)), t.Field(i).Type
+		if ft.Kind() == reflect.Slice {
+			path, ft = path+"[]", ft.Elem()
+		}
+		if ft.Kind() == reflect.Struct {
+			walk(ft, path+".", out)
+			continue
+		}
+		*out = append(*out, Field{path: path, kind: describe(ft)})
+	}
+}
