--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -32,6 +32,10 @@
 	// Fresh demands a new connection. A kept one may be closed by the backend
 	// server at the same moment, which leaves unknown whether the request ran.
 	Fresh bool
+	// Ended takes the same sample as Options.Sample, on the goroutine that ends the
+	// exchange. It is not called for one that says nothing about the server. May
+	// be nil.
+	Ended func(board.Sample)
 	// Send is asked immediately before the first byte is written; no byte is
 	// written when it returns false. Nil means yes.
 	Send func() bool
@@ -317,10 +321,14 @@
 	}
 	x.quit()
 	took := time.Since(x.start) - x.outside
-	x.pool.opts.Sample(board.Sample{
+	s := board.Sample{
 		Service: x.pool.opts.Service, Server: x.pool.addr,
 		Start: x.start, Took: took, Outcome: outcome,
-	})
+	}
+	x.pool.opts.Sample(s)
+	if x.req.Ended != nil {
+		x.req.Ended(s)
+	}
 }
 
 // quit ends an exchange without a sample: it says nothing about the server.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/idem"
 	"github.com/azuredeal/azuredeal/limit"
@@ -14,7 +16,10 @@
 	"github.com/azuredeal/azuredeal/pool"
 )
 
-const attemptsMost = 4 // Of one request, hedges included.
+const (
+	attemptsMost = 4 // Of one request, hedges included.
+	limitTries   = 4 // Servers at their limits that one choice passes over.
+)
 
 // execute admits the call and dispatches it. The reply must be closed. With
 // whole set it is buffered to its end, whatever its length.
@@ -211,40 +216,73 @@
 	if len(d.tried) >= attemptsMost {
 		return false
 	}
-	c := d.call
-	t := c.handler.choose(c.service.picker, d.tried)
-	if t == nil && same {
-		t = c.handler.choose(c.service.picker, nil)
-	}
-	if t == nil {
-		return false
+	v, counted := d.next(d.tried)
+	if v == nil && same {
+		v, counted = d.next(nil)
 	}
-	v := c.handler.current(c.service, t)
 	if v == nil {
 		return false
 	}
 	index := len(d.tried)
 	ctx, cancel := context.WithCancel(d.ctx)
-	d.tried = append(d.tried, t)
+	d.tried = append(d.tried, v.target)
 	d.begun = append(d.begun, begun{start: time.Now(), cancel: cancel})
 	d.pending++
+	v.target.Begin() // Before the next choice, which may be made before this attempt starts.
 	go func() {
-		p, err := d.attempt(ctx, cancel, v, index)
+		p := &reply{
+			index: index, cancel: cancel, call: d.call, server: v, counted: counted,
+			outcome: board.Unreachable, // Says nothing about the limit of the server.
+		}
+		err := d.attempt(ctx, p)
+		if err != nil {
+			p = nil
+		}
 		d.results <- result{index, p, err}
 	}()
 	return true
 }
 
-// attempt runs one exchange and reads the response.
-func (d *dispatch) attempt(ctx context.Context, cancel context.CancelFunc, v *server, index int) (*reply, error) {
+// next chooses a server that is not among tried and takes one more request. When
+// all are at their limits, a first attempt goes to one of them nevertheless: the
+// queue has admitted it, and its room follows the limits. The result says whether
+// the attempt counts in the limit.
+func (d *dispatch) next(tried []*pick.Target) (v *server, counted bool) {
+	c := d.call
+	var first *server
+	full := slices.Clip(tried)
+	for range limitTries {
+		t := c.handler.choose(c.service.picker, full)
+		if t == nil {
+			break
+		}
+		if v := c.handler.current(c.service, t); v != nil {
+			if v.limit.Begin() {
+				return v, true
+			}
+			if first == nil {
+				first = v
+			}
+		}
+		full = append(full, t)
+	}
+	if len(d.tried) > 0 {
+		return nil, false
+	}
+	return first, false
+}
+
+// attempt runs one exchange and reads the response into p.
+func (d *dispatch) attempt(ctx context.Context, p *reply) error {
 	c := d.call
-	id := d.stem + "-" + strconv.Itoa(index)
+	id := d.stem + "-" + strconv.Itoa(p.index)
 	sent := false
 	req := &pool.Request{
 		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
 		Header: c.header.Clone(), ID: id, Echo: c.service.note.Echo,
 		// A retry must not meet another connection that the same event has closed.
-		Fresh: !c.route.idempotent || index > 0,
+		Fresh: !c.route.idempotent || p.index > 0,
+		Ended: func(s board.Sample) { p.took, p.outcome = s.Took, s.Outcome },
 		Send: func() bool {
 			sent = d.pass(ctx)
 			return sent
@@ -253,21 +291,19 @@
 	left := max(0, time.Until(c.deadline))
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	start := time.Now()
-	v.target.Begin()
-	p := &reply{index: index, cancel: cancel, target: v.target}
-	resp, err := v.pool.Do(ctx, req)
+	resp, err := p.server.pool.Do(ctx, req)
 	if err == nil {
 		err = p.read(resp, d.whole, c.service.answerLimit())
 	}
 	if err == nil {
 		d.recent.add(time.Since(start))
-		return p, nil
+		return nil
 	}
 	p.close()
 	if sent && fault.Of(err).Answer().Ran() == fault.No {
 		d.gate.unsend()
 	}
-	return nil, err
+	return err
 }
 
 // pass lets an attempt send its first byte. Deadline and context are checked
--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -255,6 +255,41 @@
 	})
 }
 
+// Guards against a stalled server that takes all requests of its service with it:
+// beyond its limit they go elsewhere, and in the end they are refused as not run.
+func TestStalledServerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var stalled atomic.Int64
+		f := pipes{
+			"10.0.0.1:1": func(c net.Conn, _ *http.Request) {
+				stalled.Add(1)
+				_, _ = c.Read(make([]byte, 1))
+			},
+			"10.0.0.2:1": func(c net.Conn, r *http.Request) { respond(c, r, 200, "", "") },
+		}.fixture(t, func(s *note.Service) { s.Limits.Queue = 1 })
+		var group sync.WaitGroup
+		ask := func(status int, kind, ran string) {
+			group.Go(func() { expect(t, f.do("POST", "/act", ""), status, kind, ran) })
+			synctest.Wait()
+		}
+		for range 3 {
+			ask(504, "Timeout", "unknown")
+		}
+		for range 5 {
+			ask(200, "", "")
+		}
+		f.SetWeights("s", map[string]float64{"10.0.0.2:1": 0})
+		ask(503, "DeadlineShort", "no")
+		ask(503, "QueueFull", "no")
+		group.Wait()
+		if stalled.Load() != 3 {
+			t.Errorf("%d requests at the stalled server", stalled.Load())
+		}
+		synctest.Wait() // For the attempts that their callers left.
+		f.idle(t)
+	})
+}
+
 // Guards against hedges of actions, of services that do not allow them, and
 // beyond the budget.
 func TestNoHedge(t *testing.T) {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -185,9 +185,12 @@
 func (f *fixture) idle(t *testing.T) {
 	t.Helper()
 	for _, s := range f.state.Load().services {
+		if s.queue.Running() != 0 {
+			t.Errorf("%d places of the queue are taken after the end", s.queue.Running())
+		}
 		for _, v := range s.servers {
-			if n := v.pool.Flight().Count; n != 0 || v.target.Inflight() != 0 {
-				t.Errorf("%d exchanges and %d attempts in flight after the end", n, v.target.Inflight())
+			if n := v.pool.Flight().Count + v.target.Inflight() + v.limit.Inflight(); n != 0 {
+				t.Errorf("%d in flight after the end", n)
 			}
 		}
 	}
--- a/proxy/reply.go
+++ b/proxy/reply.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/fault"
-	"github.com/azuredeal/azuredeal/pick"
 	"github.com/azuredeal/azuredeal/pool"
 )
 
@@ -30,9 +30,14 @@
 	rest   *pool.Response // Nil when body is whole.
 	most   int64          // Bytes of the body at most.
 	cancel context.CancelFunc
-	target *pick.Target
-	leave  func()
-	closed bool
+	call   *call
+	server *server
+	// counted says that the attempt counts in the limit of the server.
+	counted bool
+	took    time.Duration
+	outcome board.Outcome
+	leave   func()
+	closed  bool
 }
 
 // close gives back all that the reply holds.
@@ -45,7 +50,9 @@
 		_ = p.rest.Close()
 	}
 	p.cancel()
-	p.target.End()
+	if p.server.end(p.counted, p.took, p.outcome) {
+		p.call.service.makeRoom()
+	}
 	if p.leave != nil {
 		p.leave()
 	}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -24,9 +24,22 @@
 type server struct {
 	note   note.Server
 	target *pick.Target
+	limit  *limit.Adaptive
 	pool   *pool.Pool
 }
 
+// end counts the end of an attempt. It reports whether the server now takes
+// more or fewer requests at once.
+func (v *server) end(counted bool, took time.Duration, outcome board.Outcome) bool {
+	v.target.End()
+	if !counted {
+		return false
+	}
+	before := v.limit.Limit()
+	v.limit.End(time.Now(), took, outcome)
+	return v.limit.Limit() != before
+}
+
 // service is the state of one service. It is replaced as a whole when a release
 // changes the service; the parts that did not change move along.
 type service struct {
@@ -80,6 +93,11 @@
 		return old
 	}
 	v := &server{note: n, target: pick.NewTarget(n.Addr, n.Zone, n.Slots)}
+	if old != nil && old.note.Slots == n.Slots {
+		v.limit = old.limit
+	} else {
+		v.limit = limit.NewAdaptive(n.Slots)
+	}
 	if old != nil {
 		v.target.SetWeight(old.target.Weight())
 	}
@@ -117,12 +135,13 @@
 	s.makeRoom()
 }
 
-// makeRoom lets as many requests run as the usable servers have slots.
+// makeRoom lets as many requests run as the usable servers take at once.
 func (s *service) makeRoom() {
 	room := 0
 	for _, t := range s.picker.Targets() {
-		if t.Weight() > 0 {
-			room += max(1, t.Slots())
+		// The picker may be ahead of s when a release has just changed the service.
+		if v := s.servers[t.Addr()]; v != nil && t.Weight() > 0 {
+			room += v.limit.Limit()
 		}
 	}
 	s.queue.SetRoom(max(1, room))
--- a/proxy/window.go
+++ b/proxy/window.go
@@ -43,9 +43,11 @@
 }
 
 // delay returns how long to wait for a response before a hedge is sent: the
-// recent p95, bounded by a share of the time left so that the hedge can end.
+// recent p95, bounded by a share of the time left so that the hedge can end. It
+// is never shorter than hedgeLeast: repeated without a budget, a share of the time
+// left comes to nothing before the deadline does.
 func (w *window) delay(left time.Duration) time.Duration {
-	most := left / hedgeFactor
+	most := max(left/hedgeFactor, hedgeLeast)
 	p95 := time.Duration(w.p95.Load())
 	if p95 == 0 {
 		return most
