--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -34,7 +34,7 @@
 		call: c, ctx: ctx, whole: whole, stem: c.handler.newID(),
 		results: make(chan result, attemptsMost),
 	}
-	if c.route.idempotent && c.service.note.Limits.Hedge {
+	if c.repeatable && c.service.note.Limits.Hedge {
 		d.recent = c.service.recent.of(c.route.name)
 	}
 	p, err := d.run()
@@ -160,7 +160,7 @@
 
 // failed reports whether a reply is worth another attempt.
 func (d *dispatch) failed(p *reply) bool {
-	if !d.call.route.idempotent || p.rest != nil {
+	if !d.call.repeatable || p.rest != nil {
 		return false
 	}
 	switch p.status {
@@ -191,7 +191,7 @@
 	case fault.Unreachable, fault.ServerRefused, fault.NoServer:
 		return true
 	case fault.Interrupted, fault.Truncated, fault.Mismatch:
-		return d.call.route.idempotent
+		return d.call.repeatable
 	default:
 		return false
 	}
@@ -281,7 +281,7 @@
 		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
 		Header: c.header.Clone(), ID: id, Echo: c.service.note.Echo,
 		// A retry must not meet another connection that the same event has closed.
-		Fresh: !c.route.idempotent || p.index > 0,
+		Fresh: !c.repeatable || p.index > 0,
 		Ended: func(s board.Sample) { p.took, p.outcome = s.Took, s.Outcome },
 		Send: func() bool {
 			sent = d.pass(ctx)
@@ -312,7 +312,7 @@
 	if ctx.Err() != nil || past(d.call.deadline) {
 		return false
 	}
-	return d.gate.send(!d.call.route.idempotent)
+	return d.gate.send(!d.call.repeatable)
 }
 
 // past reports whether t is over by the monotonic clock, which may stand still
--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -413,7 +413,8 @@
 }
 
 // Guards against tokens that reach backend servers, against statements of
-// backend servers that pass for the fleet's, and against a deadline that is lost.
+// backend servers that pass for the fleet's, against a deadline that is lost, and
+// against a forwarded request that another release makes repeatable.
 func TestHeaders(t *testing.T) {
 	seen := make(chan http.Header, 1)
 	b := serveRaw(t, func(c net.Conn, r *http.Request, _ []byte) bool {
@@ -439,9 +440,11 @@
 	expect(t, f.do("GET", "/look/x", "", HeaderAccount, "wrong"), 401, "UnknownAccount", "no")
 	expect(t, f.do("GET", "/look/x", "", HeaderDeadline, "soon"), 400, "BadRequest", "no")
 	expect(t, f.do("GET", "/look/x", "", HeaderDeadline, "0"), 503, "DeadlineShort", "no")
-	c, err := f.forwarded(t.Context(), idem.Call{Method: "POST", Target: "/pay", Account: "shop"})
-	if err != nil || c.class != limit.Bulk {
-		t.Fatalf("call %+v, error %v", c, err)
+	for _, target := range []string{"/pay", "/look/x"} {
+		c, err := f.forwarded(t.Context(), idem.Call{Method: "POST", Target: target, Account: "shop"})
+		if err != nil || c.class != limit.Bulk || c.repeatable {
+			t.Fatalf("call %+v, error %v", c, err)
+		}
 	}
 }
 
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -19,21 +19,23 @@
 
 // call is one request, whole and accepted, with what its attempts need.
 type call struct {
-	handler  *Handler
-	service  *service
-	route    *Route
-	account  string
-	class    limit.Class
-	deadline time.Time
-	id       string // What the caller sees.
-	proto    int    // Major version of HTTP that the caller speaks.
-	key      string // Only on a non-idempotent route.
-	method   string
-	host     string
-	target   string // Path and query.
-	header   http.Header
-	body     []byte
-	held     int64 // Bytes counted for body.
+	handler *Handler
+	service *service
+	route   *Route
+	// repeatable says that the call may run more than once.
+	repeatable bool
+	account    string
+	class      limit.Class
+	deadline   time.Time
+	id         string // What the caller sees.
+	proto      int    // Major version of HTTP that the caller speaks.
+	key        string // Only on a non-idempotent route.
+	method     string
+	host       string
+	target     string // Path and query.
+	header     http.Header
+	body       []byte
+	held       int64 // Bytes counted for body.
 }
 
 // accept checks a request and reads its body. The call is returned together
@@ -78,8 +80,8 @@
 		return nil, fault.New(fault.NoRoute, "route %s has no service", route.name)
 	}
 	return &call{
-		handler: h, service: s, route: route, class: route.class,
-		method: method, host: host, target: u.RequestURI(),
+		handler: h, service: s, route: route, repeatable: route.idempotent,
+		class: route.class, method: method, host: host, target: u.RequestURI(),
 	}, nil
 }
 
@@ -133,7 +135,7 @@
 
 // setKey takes the key of a request that must not run twice.
 func (c *call) setKey() error {
-	if c.route.idempotent {
+	if c.repeatable {
 		return nil
 	}
 	keys := c.header[HeaderKey]
@@ -309,6 +311,9 @@
 		c.setAccount(a)
 	}
 	c.id, c.key, c.body = in.ID, in.Key, in.Body
+	// The peer took the request for one that must not run twice. A release that
+	// says otherwise here does not change what the caller was promised.
+	c.repeatable = false
 	c.header = forwardable(in.Header)
 	c.deadline = time.Now().Add(c.service.deadline(c.route))
 	if until, ok := ctx.Deadline(); ok && until.Before(c.deadline) {
--- a/proxy/chaos_test.go
+++ b/proxy/chaos_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/pick"
 )
 
 const chaosSeed = 7
@@ -63,6 +65,7 @@
 		backends = append(backends, serveRaw(t, x.handle))
 	}
 	f := newFixture(t, nil, backends...)
+	f.choose = (*pick.Picker).Pick
 	const callers, each = 16, 50
 	answers := make([]map[string]*http.Response, callers)
 	var group sync.WaitGroup
@@ -105,3 +108,20 @@
 		t.Errorf("%q ran %d times", body, runs)
 	}
 }
+
+// Guards against retries that multiply the load in a total outage, where each
+// request has a reason for one.
+func TestRetryBudgetInOutage(t *testing.T) {
+	broken := func(c net.Conn, _ *http.Request, _ []byte) bool { return reset(c) }
+	first, second := serveRaw(t, broken), serveRaw(t, broken)
+	f := newFixture(t, nil, first, second)
+	f.choose, f.spend = (*pick.Picker).Pick, (*limit.Budget).Spend
+	const requests = 300
+	for range requests {
+		expect(t, f.do("POST", "/look/x", ""), 502, "Interrupted", "unknown")
+	}
+	sent := int(first.requests.Load() + second.requests.Load())
+	if most := requests*11/10 + budgetBurst; sent > most || sent == requests {
+		t.Fatalf("%d attempts for %d requests, %d are allowed", sent, requests, most)
+	}
+}
--- a/proxy/dump.go
+++ b/proxy/dump.go
@@ -9,6 +9,8 @@
 // ServiceDump is the traffic state of one service, for the dump of a process.
 type ServiceDump struct {
 	Name    string       `json:"name"`
+	Running int          `json:"running"` // Requests that the queue has admitted.
+	Waiting int          `json:"waiting"` // Requests in the queue.
 	Servers []ServerDump `json:"servers"`
 }
 
@@ -20,6 +22,7 @@
 	Used     bool    `json:"used"` // In this VM's subset and not leaving.
 	Leaving  bool    `json:"leaving"`
 	Inflight int     `json:"inflight"` // Exchanges.
+	Limit    int     `json:"limit"`    // Of attempts in flight.
 	Waiting  int64   `json:"waiting"`  // Age of the oldest wait, in milliseconds.
 	Open     int     `json:"open"`     // Connections.
 	Idle     int     `json:"idle"`     // Connections.
@@ -40,14 +43,17 @@
 }
 
 func (s *service) dump(now time.Time) ServiceDump {
-	out := ServiceDump{Name: s.note.Name, Servers: make([]ServerDump, 0, len(s.servers))}
+	out := ServiceDump{
+		Name: s.note.Name, Running: s.queue.Running(), Waiting: s.queue.Waiting(),
+		Servers: make([]ServerDump, 0, len(s.servers)),
+	}
 	used := s.picker.Targets()
 	for _, n := range s.note.Servers {
 		v := s.servers[n.Addr]
 		flight := v.pool.Flight()
 		d := ServerDump{
 			Addr: n.Addr, Zone: n.Zone, Leaving: n.Leaving, Weight: v.target.Weight(),
-			Used: slices.Contains(used, v.target), Inflight: flight.Count,
+			Used: slices.Contains(used, v.target), Inflight: flight.Count, Limit: v.limit.Limit(),
 		}
 		if !flight.Oldest.IsZero() {
 			d.Waiting = now.Sub(flight.Oldest).Milliseconds()
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -44,7 +44,7 @@
 	Zone string // Availability zone of this VM.
 	Seed uint64 // Fixes the choice of backend servers.
 	// AnonymousRate, in requests a second, and AnonymousBurst bound the requests
-	// without an account, taken together. 0 takes the defaults, 50 and 100.
+	// without an account, taken together. A rate of 0 takes the defaults, 50 and 100.
 	AnonymousRate  float64
 	AnonymousBurst int
 	BodyTime       time.Duration // Time limit to read a request body, 10 s by default.
@@ -53,7 +53,8 @@
 	Connect        time.Duration // See pool.Options.
 	Dial           func(ctx context.Context, network, address string) (net.Conn, error)
 	// Conns returns how many of a backend server's connections this VM may use;
-	// by default a sixteenth, as there are about that many entry VMs.
+	// by default a twenty-fourth: 18 entry VMs then leave a quarter of them to
+	// probes and to VMs that replace others.
 	Conns func(all int) int
 	// Subset returns those of the backend servers of a service that this VM
 	// uses; all by default. It may be called on any goroutine that sets releases.
@@ -224,7 +225,7 @@
 	return nil
 }
 
-const fleetShare = 16
+const fleetShare = 24
 
 func (h *Handler) conns(all int) int {
 	if h.opts.Conns != nil {
--- a/proxy/table_test.go
+++ b/proxy/table_test.go
@@ -8,6 +8,16 @@
 	"github.com/azuredeal/azuredeal/note"
 )
 
+func ExampleTable_Find() {
+	table := NewTable(note.NewRelease(1, nil, []note.Route{
+		{Name: "lookup", Path: "/plans/*", Methods: []string{"GET"}, Idempotent: true},
+		{Name: "approve", Path: "/plans/7/approve", Methods: []string{"POST"}},
+	}, nil))
+	r := table.Find("shop.example:8080", "/plans/7/approve", "POST")
+	fmt.Println(r.Name(), r.Idempotent())
+	// Output: approve false
+}
+
 func tableOf(routes ...note.Route) *Table {
 	for i := range routes {
 		if routes[i].Methods == nil {
