--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -108,13 +108,13 @@
 		x.wrote = make(chan struct{})
 		go func(l *link, done chan struct{}) {
 			defer close(done)
-			if msg.Write(l) != nil {
+			if l.send(msg) != nil {
 				l.failed.Store(true)
 			}
 		}(x.link, x.wrote)
 		return nil
 	}
-	err = msg.Write(x.link)
+	err = x.link.send(msg)
 	if err == nil || x.link.sent.Load() > 0 {
 		return nil
 	}
--- a/pool/link.go
+++ b/pool/link.go
@@ -6,12 +6,17 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-const readBuffer = 4 << 10 // Bytes.
+// Buffers of a connection, in bytes.
+const (
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
+)
 
 var errHeaderSize = errors.New("response header is too large")
 
@@ -19,6 +24,7 @@
 type link struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	writer *bufio.Writer
 	since  time.Time // Idle since.
 	room   int64     // Bytes that may still be read, while a header is read.
 	sent   atomic.Int64
@@ -28,6 +34,7 @@
 func newLink(conn net.Conn) *link {
 	l := &link{conn: conn}
 	l.reader = bufio.NewReaderSize(readSide{l}, readBuffer)
+	l.writer = bufio.NewWriterSize(l, writeBuffer)
 	return l
 }
 
@@ -42,6 +49,15 @@
 	return n, err
 }
 
+// send writes a request. A request that cannot be written leaves bytes in the
+// buffer, so its connection must not be kept.
+func (l *link) send(r *http.Request) error {
+	if err := r.Write(l.writer); err != nil {
+		return err
+	}
+	return l.writer.Flush()
+}
+
 func (l *link) close() { _ = l.conn.Close() }
 
 // limit bounds what may be read until unlimit. The buffer may read ahead of the
