--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -382,3 +382,15 @@
 	open, _ := b.Conns()
 	failIf(t, open != 0, "the connection was kept")
 }
+
+// Guards against a refusal that delays the next attempt because its body stalls.
+func TestRefusalWithStalledBody(t *testing.T) {
+	b := newBench(t, Options{}, func(c net.Conn, in *bufio.Reader) {
+		_, _ = http.ReadRequest(in)
+		fmt.Fprint(c, "HTTP/1.1 503 S\r\nX-Request-Id: a-1\r\nAzuredeal-Refused: shed\r\nContent-Length: 9\r\n\r\nx")
+		_, _ = in.ReadByte()
+	})
+	_, err := b.Do(t.Context(), get("a-1"))
+	open, _ := b.Conns()
+	failIf(t, fault.Of(err) != fault.ServerRefused || open != 0, "error %v, %d open", err, open)
+}
--- a/proxy/caller_test.go
+++ b/proxy/caller_test.go
@@ -104,6 +104,7 @@
 				failIf(t, err != nil, "%v", err)
 				body, err := io.ReadAll(r.Body)
 				failIf(t, err != nil || string(body) != long, "%d bytes, error %v", len(body), err)
+				failIf(t, r.Header["Content-Type"] != nil, "a content type was made up: %v", r.Header)
 			}
 		})
 		failIf(t, b.conns.Load() != 1, "%s: %d connections for complete responses", framing, b.conns.Load())
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -201,10 +201,15 @@
 type timed struct {
 	*httptest.ResponseRecorder
 	read, write time.Time
+	limited     bool // A write deadline was set.
 }
 
-func (w *timed) SetReadDeadline(t time.Time) error  { w.read = t; return nil }
-func (w *timed) SetWriteDeadline(t time.Time) error { w.write = t; return nil }
+func (w *timed) SetReadDeadline(t time.Time) error { w.read = t; return nil }
+
+func (w *timed) SetWriteDeadline(t time.Time) error {
+	w.write, w.limited = t, w.limited || !t.IsZero()
+	return nil
+}
 
 // Guards against the time limits of one request that end the next one on the
 // same connection, or this one while it waits for the backend server.
@@ -216,6 +221,7 @@
 		w := &timed{ResponseRecorder: httptest.NewRecorder()}
 		f.ServeHTTP(w, httptest.NewRequest("POST", "/look/x", strings.NewReader("body")))
 		expect(t, w.Result(), 200, "", "")
+		failIf(t, !w.limited, "a caller that takes nothing is never cut off")
 		failIf(t, !w.read.IsZero() || !w.write.IsZero(), "read deadline %v, write deadline %v", w.read, w.write)
 	}
 }
