--- a/idem/claims.go
+++ b/idem/claims.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	claimShards = 256
-	claimBatch  = 512             // Claims that one write adds at most.
+	claimShards = 256 // The same on all VMs.
+	claimBatch  = 512
 	claimWait   = 4096            // Requests that wait for a claim on one VM at most.
 	claimCalls  = 16              // Calls to the platform at once.
 	claimTries  = 6               // Writes of one batch at most.
@@ -41,11 +41,11 @@
 	base   context.Context
 	client *store.Client
 	self   Owner
-	batch  int
+	batch  int // Claims that one write adds at most.
 	calls  chan struct{}
 
 	mu      sync.Mutex
-	shards  [claimShards]shard
+	shards  []shard
 	waiting int
 	recent  map[digest]claim // The newer half of the claims known.
 	older   map[digest]claim
@@ -79,6 +79,7 @@
 	return &Claims{
 		base: ctx, client: client, self: self,
 		batch:   claimBatch,
+		shards:  make([]shard, claimShards),
 		calls:   make(chan struct{}, claimCalls),
 		recent:  map[digest]claim{},
 		backoff: limit.NewBackoff(downFirst, downMost, rand.Uint64()),
@@ -115,12 +116,12 @@
 		return claim{}, false, fault.New(fault.ClaimFailed, "%d requests wait for claims", c.waiting)
 	}
 	c.waiting++
-	n := binary.BigEndian.Uint16(p.key[:]) % claimShards
+	n := int(binary.BigEndian.Uint16(p.key[:])) % len(c.shards)
 	s := &c.shards[n]
 	s.pending = append(s.pending, p)
 	if !s.busy {
 		s.busy = true
-		go c.work(int(n))
+		go c.work(n)
 	}
 	return claim{}, false, nil
 }
--- a/idem/claims_test.go
+++ b/idem/claims_test.go
@@ -143,30 +143,43 @@
 // 3 ms a call: with a write for each claim, with shared writes, and with issued
 // keys. Approvals arrive at 18 VMs in turn.
 func BenchmarkApprovals(b *testing.B) {
-	for _, kind := range []string{"unbatched", "batched", "issued"} {
+	cases := []struct {
+		kind               string
+		batch, shards, vms int
+	}{
+		{"unbatched", 1, claimShards, 18},
+		{"batched", claimBatch, claimShards, 18},
+		{"batched", claimBatch, 16, 18},
+		{"batched", claimBatch, claimShards, 1},
+		{"batched", claimBatch, 16, 1},
+		{"issued", claimBatch, claimShards, 18},
+	}
+	for _, c := range cases {
 		for _, rate := range []int{10, 100, 1000, 5000} {
-			b.Run(fmt.Sprintf("%s/rate=%d", kind, rate), func(b *testing.B) { approvals(b, kind, rate) })
+			name := fmt.Sprintf("%s/shards=%d/vms=%d/rate=%d", c.kind, c.shards, c.vms, rate)
+			b.Run(name, func(b *testing.B) {
+				f := newFleet(b.Context(), c.vms, testSeed)
+				for _, v := range f.vms {
+					v.guard.ledger = NewLedger(b.Context(), 1<<20, 1<<20)
+					v.guard.claims.batch = c.batch
+					v.guard.claims.shards = make([]shard, c.shards)
+				}
+				approvals(b, f, rate, c.kind == "issued")
+			})
 		}
 	}
 }
 
 // approvals sends b.N requests at a rate and reports the costs of one.
-func approvals(b *testing.B, kind string, rate int) {
-	const vms = 18
-	f := newFleet(b.Context(), vms, testSeed)
+func approvals(b *testing.B, f *fleet, rate int, issued bool) {
 	var reads, writes, failed, added atomic.Int64
 	f.get = func() error { reads.Add(1); return nil }
 	f.put = func(apply func() error) error { writes.Add(1); return apply() }
-	if kind == "unbatched" {
-		for i := range vms {
-			f.vm(i).guard.claims.batch = 1
-		}
-	}
 	approve := func(n int) {
 		ctx, cancel := context.WithTimeout(b.Context(), 2*time.Second)
 		defer cancel()
-		v, call := f.vm(n%vms), Call{Account: "a", Key: fmt.Sprint("order ", n)}
-		if kind == "issued" {
+		v, call := f.vm(n%len(f.vms)), Call{Account: "a", Key: fmt.Sprint("order ", n)}
+		if issued {
 			call.Key = v.guard.keys.Issue(time.Now())
 		}
 		start := time.Now()
--- a/idem/guard_test.go
+++ b/idem/guard_test.go
@@ -79,6 +79,12 @@
 				wantKind(t, fmt.Sprint(name, " at VM ", i), err, fault.KeyReused)
 			}
 		}
+		refused := Call{Account: "a", Key: "refused", Body: []byte("x")}
+		_, err := f.vm(0).guard.Do(t.Context(), refused, fails(fault.ServerRefused))
+		wantKind(t, "refused", err, fault.ServerRefused)
+		refused.Body = []byte("y")
+		_, err = f.do(t.Context(), 0, refused)
+		wantKind(t, "another body than that of the claim", err, fault.KeyReused)
 		call.Host = "10.0.0.2:80"
 		if _, err := f.do(t.Context(), 2, call); err != nil {
 			t.Errorf("another host: %v", err)
@@ -178,13 +184,18 @@
 // known, and against "not run" for those whose owner is not.
 func TestGuardPlatformOutage(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet, call Call) {
-		if _, err := f.do(t.Context(), 0, call); err != nil {
-			t.Fatal(err)
+		for i := range 2 {
+			if _, err := f.do(t.Context(), i, call); err != nil {
+				t.Fatal(err)
+			}
 		}
 		calls := 0
 		f.get = func() error { calls++; return errDown }
-		if _, err := f.do(t.Context(), 0, call); err != nil {
-			t.Errorf("known key: %v", err)
+		f.vm(0).guard.claims.recent = map[digest]claim{} // The ledger still knows the key.
+		for i := range 2 {
+			if _, err := f.do(t.Context(), i, call); err != nil {
+				t.Errorf("known key at VM %d: %v", i, err)
+			}
 		}
 		_, err := f.do(t.Context(), 1, Call{Account: "a", Key: f.vm(2).guard.keys.Issue(time.Now())})
 		if err != nil {
@@ -298,7 +309,7 @@
 		NewKeys([]byte("another"), self).Issue(now),
 	}
 	for i := len(issuedPrefix); i < len(key); i++ {
-		for _, c := range []byte("Aw_") {
+		for _, c := range []byte("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_") {
 			altered := []byte(key)
 			altered[i] = c
 			if !bytes.Equal(altered, []byte(key)) {
--- a/idem/ledger_test.go
+++ b/idem/ledger_test.go
@@ -105,6 +105,18 @@
 		_, _ = l.do(bounded, testItem(2), slow)
 		_, err = l.do(t.Context(), testItem(2), never(t))
 		wantKind(t, "run beyond its deadline", err, fault.Timeout)
+		deaf := func(context.Context) (*Answer, error) { time.Sleep(time.Minute); return nil, nil }
+		last, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, _ = l.do(last, testItem(3), deaf)
+		time.Sleep(runGrace)
+		begin := time.Now()
+		_, err = l.do(t.Context(), testItem(3), never(t))
+		wantKind(t, "run that ignores its deadline", err, fault.Timeout)
+		if time.Since(begin) != 0 {
+			t.Errorf("waited %v for it", time.Since(begin))
+		}
+		time.Sleep(time.Minute)
 		base, stop := context.WithCancel(t.Context())
 		l = NewLedger(base, 10, 100)
 		time.AfterFunc(100*time.Millisecond, stop)
