--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,30 +64,38 @@
 // Guards against more requests in flight than the limit, and counts that drift,
 // with many goroutines; run with -race.
 func TestAdaptiveFromManyGoroutines(t *testing.T) {
-	for _, c := range []struct{ outcomes, most int }{{0, 3}, {11, 6}} {
-		a := limit.NewAdaptive(3)
+	const slots, goroutines, rounds = 500, 8, 600
+	a := limit.NewAdaptive(slots)
+	for round := range rounds {
 		var group sync.WaitGroup
-		for g := range 8 {
+		var begun atomic.Int64
+		most := int64(a.Limit())
+		for range goroutines {
 			group.Go(func() {
-				for i := range 10_000 {
-					if !a.Begin() {
-						continue
-					}
-					if n := a.Inflight(); n > c.most {
-						t.Errorf("%d in flight", n)
-					}
+				for a.Begin() {
+					begun.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		if begun.Load() != most || a.Inflight() != int(most) {
+			t.Fatalf("%d began and %d are in flight, want %d", begun.Load(), a.Inflight(), most)
+		}
+		now := epoch.Add(time.Duration(round) * time.Second)
+		for range goroutines {
+			group.Go(func() {
+				for i := begun.Add(-1); i >= 0; i = begun.Add(-1) {
 					outcome := board.Unreachable // Leaves the limit as it is.
-					if c.outcomes > 0 {
-						outcome = board.Outcome((g + i) % c.outcomes)
+					if round >= rounds-20 {
+						outcome = board.Outcome(i % 11)
 					}
-					runtime.Gosched()
-					a.End(epoch.Add(time.Duration(i)*time.Millisecond), time.Millisecond, outcome)
+					a.End(now, time.Millisecond, outcome)
 				}
 			})
 		}
 		group.Wait()
-		if a.Inflight() != 0 || a.Limit() < 1 || a.Limit() > c.most {
-			t.Errorf("limit %d, in flight %d", a.Limit(), a.Inflight())
+		if a.Inflight() != 0 || a.Limit() < 1 || a.Limit() > 2*slots {
+			t.Fatalf("limit %d, in flight %d", a.Limit(), a.Inflight())
 		}
 	}
 }
