--- a/deploy/follower_test.go
+++ b/deploy/follower_test.go
@@ -5,9 +5,12 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/store"
@@ -283,6 +286,13 @@
 		if d := f.Dump(); d.Generation != 2 || d.Source != "self" {
 			t.Errorf("dump %+v", d)
 		}
+		set, text := metrics.NewSet(), &bytes.Buffer{}
+		f.Register(set)
+		w.pub.Register(set)
+		set.WritePrometheus(text)
+		if got := text.String(); !strings.Contains(got, "release_generation 2") || !strings.Contains(got, "publish_accepted_total 2") {
+			t.Errorf("metrics %s", got)
+		}
 		head, _ := f.Serve(nil)
 		w.publish(more(1, 2))
 		other.Adopt(head, f.Release())
--- /dev/null
+++ b/deploy/metrics.go
@@ -0,0 +1,33 @@
+package deploy
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Register adds the counts of the follower to a set of metrics.
+func (f *Follower) Register(set *metrics.Set) {
+	set.NewGauge("azuredeal_release_generation", func() float64 { return float64(f.Generation()) })
+	set.NewGauge("azuredeal_release_watch", func() float64 {
+		if watch, _ := f.mode(); watch {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("azuredeal_release_applied_total", func() float64 { return float64(f.counts.applied.Load()) })
+	set.NewGauge("azuredeal_release_behind_total", func() float64 { return float64(f.counts.behind.Load()) })
+	set.NewGauge("azuredeal_release_failed_total", func() float64 { return float64(f.counts.failed.Load()) })
+	set.NewGauge("azuredeal_release_checked_total", func() float64 { return float64(f.counts.checked.Load()) })
+}
+
+// Register adds the counts of the publisher to a set of metrics.
+func (p *Publisher) Register(set *metrics.Set) {
+	for name, read := range map[string]func(PublishStats) uint64{
+		"accepted":   func(s PublishStats) uint64 { return s.Accepted },
+		"recognised": func(s PublishStats) uint64 { return s.Recognised },
+		"refused":    func(s PublishStats) uint64 { return s.Refused },
+		"settled":    func(s PublishStats) uint64 { return s.Settled },
+		"objects":    func(s PublishStats) uint64 { return s.Objects },
+		"bytes":      func(s PublishStats) uint64 { return s.Bytes },
+		"collected":  func(s PublishStats) uint64 { return s.Collected },
+	} {
+		set.NewGauge("azuredeal_publish_"+name+"_total", func() float64 { return float64(read(p.Stats())) })
+	}
+}
--- a/note/chunk.go
+++ b/note/chunk.go
@@ -355,6 +355,7 @@
 			return nil, fault.New(fault.Invalid, "chunk %s has item %q out of place", want, item.label())
 		}
 	}
+	intern(b.items)
 	b.once.Do(func() { b.chunk = c })
 	return b, nil
 }
