--- a/deploy/follower_test.go
+++ b/deploy/follower_test.go
@@ -77,7 +77,8 @@
 	})
 }
 
-// Guards against a VM that goes back to an older release, whoever shows it one.
+// Guards against a VM that goes back to an older release, whoever shows it one,
+// and that asks a peer again and again which states more than it has.
 func TestGenerationOnlyGrows(t *testing.T) {
 	simulate(t, 20, func(w *world) {
 		memory := w.p.memory.Client()
@@ -115,6 +116,8 @@
 		}
 		if d := vm.Dump(); d.Behind == 0 || d.Failed == 0 {
 			t.Errorf("older heads were not counted: %+v", d)
+		} else if d.Offers[0].Fails > 60 { // Pauses of at least 5 s, after the first few.
+			t.Errorf("the peer was asked %d times in 4 min", d.Offers[0].Fails)
 		}
 	})
 }
--- a/objapi/objapi_test.go
+++ b/objapi/objapi_test.go
@@ -154,15 +154,16 @@
 	if o, err := short.Watch(t.Context(), "a", v2); err != nil || o.Version != v2 {
 		t.Fatalf("watch without a change: %+v, %v", o, err)
 	}
-	failed := make(chan error, 1)
-	go func() {
-		_, err := c.Watch(t.Context(), "a", v2)
-		failed <- err
-	}()
-	api.SetFaults(objapi.Faults{Outage: objapi.OutageDrop})
-	if err := <-failed; fault.Of(err) != fault.PlatformDown {
-		t.Fatalf("watch in an outage: %v", err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		api := objapi.New(store.NewMemory())
+		c := store.NewHTTP("http://platform", &http.Client{Transport: api.Transport()})
+		begin := time.Now()
+		time.AfterFunc(time.Second, func() { api.SetFaults(objapi.Faults{Outage: objapi.OutageDrop}) })
+		_, err := c.Watch(t.Context(), "a", 7)
+		if fault.Of(err) != fault.PlatformDown || time.Since(begin) != time.Second {
+			t.Errorf("watch in an outage ended after %v: %v", time.Since(begin), err)
+		}
+	})
 }
 
 // Guards against a control endpoint that an outage takes away, or that accepts
