Count heads that a platform shows after a restore

A head of the generation in effect with another manifest means that the platform lost what it had accepted.

--- a/deploy/follower.go
+++ b/deploy/follower.go
@@ -61,7 +61,7 @@
 }
 
 type followCounts struct {
-	applied, behind, failed, checked atomic.Uint64
+	applied, behind, forked, failed, checked atomic.Uint64
 }
 
 // NewFollower returns a follower without a release. The fields that are seams
@@ -212,9 +212,14 @@
 // advance puts the release of h into effect if its generation is above the one
 // in effect.
 func (f *Follower) advance(ctx context.Context, h *head, from string, sources ...source) error {
-	if h.generation <= f.Generation() {
-		if h.generation < f.Generation() {
+	if e := f.current.Load(); e != nil && h.generation <= e.head.generation {
+		switch {
+		case h.generation < e.head.generation:
 			f.counts.behind.Add(1)
+		case h.manifest != e.head.manifest:
+			// Only a platform that lost what it had accepted shows this. The next
+			// generation ends it.
+			f.counts.forked.Add(1)
 		}
 		return nil
 	}
--- a/deploy/metrics.go
+++ b/deploy/metrics.go
@@ -13,6 +13,7 @@
 	})
 	set.NewGauge("azuredeal_release_applied_total", func() float64 { return float64(f.counts.applied.Load()) })
 	set.NewGauge("azuredeal_release_behind_total", func() float64 { return float64(f.counts.behind.Load()) })
+	set.NewGauge("azuredeal_release_forked_total", func() float64 { return float64(f.counts.forked.Load()) })
 	set.NewGauge("azuredeal_release_failed_total", func() float64 { return float64(f.counts.failed.Load()) })
 	set.NewGauge("azuredeal_release_checked_total", func() float64 { return float64(f.counts.checked.Load()) })
 }
--- a/deploy/serve.go
+++ b/deploy/serve.go
@@ -50,6 +50,7 @@
 	Bytes      int         `json:"bytes"`   // Of the chunks kept for peers.
 	Applied    uint64      `json:"applied"` // Releases that took effect.
 	Behind     uint64      `json:"behind"`  // Heads with a lower generation, which were ignored.
+	Forked     uint64      `json:"forked"`  // Heads with this generation and another manifest, which were ignored.
 	Failed     uint64      `json:"failed"`  // Loads and platform calls that failed.
 	Checked    uint64      `json:"checked"` // Heads read from the platform.
 	Offers     []OfferDump `json:"offers"`
@@ -67,6 +68,7 @@
 	d := FollowDump{
 		Applied: f.counts.applied.Load(),
 		Behind:  f.counts.behind.Load(),
+		Forked:  f.counts.forked.Load(),
 		Failed:  f.counts.failed.Load(),
 		Checked: f.counts.checked.Load(),
 		Offers:  []OfferDump{},
