health: count only recent suspects, and let a trial grow

Change: a suspect needs evidence of the last 10 s; the share of a trial grows with good exchanges; where only the path from this VM is suspected the share is 20%.

--- a/health/decide.go
+++ b/health/decide.go
@@ -10,6 +10,8 @@
 const (
 	reducedWeight   = 0.1
 	trialWeight     = 0.05
+	trialMost       = 0.1 // Share after good exchanges of a trial.
+	pathWeight      = 0.2 // Share where only the path from this VM is suspected.
 	coldWeight      = 0.05
 	startWeight     = 0.2
 	usableWeight    = 0.5 // Least weight that counts towards the floor.
@@ -20,6 +22,7 @@
 	sharedShare     = 0.4 // Suspects above this share of the servers are a shared cause.
 	sharedRate      = 0.2 // Share of bad exchanges of the typical server, likewise.
 	sharedHold      = 5 * time.Second
+	suspectHold     = 10 * time.Second
 	zoneShare       = 0.6             // The same within one zone.
 	recentEjection  = 0.5             // Decayed count of ejections.
 	failureAge      = 3 * time.Second // Older failures justify no ejection.
@@ -128,7 +131,7 @@
 			continue
 		}
 		capacity++
-		if r.suspect(g.policy) {
+		if r.suspect(now, g.policy) {
 			suspects++
 			g.zones[r.zoneIndex].suspects++
 		}
@@ -155,8 +158,20 @@
 	return !g.sharedAt.IsZero() && now.Sub(g.sharedAt) < sharedHold
 }
 
-func (r *record) suspect(p Policy) bool {
-	return r.score >= p.reduce || r.state == Reduced || r.state == Trial || r.state == Ejected
+// suspect reports whether evidence against the server is recent. A server that
+// only waits for its return is no sign of a shared cause.
+func (r *record) suspect(now time.Time, p Policy) bool {
+	if r.score >= p.reduce {
+		r.suspectAt = now
+	}
+	low := r.state == Reduced || r.state == Trial || r.state == Ejected
+	if low && r.failedAt.After(r.suspectAt) {
+		r.suspectAt = r.failedAt
+	}
+	if r.state == Reduced && r.since.After(r.suspectAt) {
+		r.suspectAt = r.since
+	}
+	return !r.suspectAt.IsZero() && now.Sub(r.suspectAt) < suspectHold
 }
 
 // zoneCause reports whether most servers of the zone are suspects while there
@@ -345,8 +360,11 @@
 		r.weight = 1
 	case Reduced:
 		r.weight = reducedWeight
+		if r.mine {
+			r.weight = pathWeight
+		}
 	case Trial:
-		r.weight = trialWeight
+		r.weight = r.trialShare()
 	case Starting:
 		part := min(1, float64(now.Sub(r.since))/float64(rampTime))
 		r.weight = r.ramp + (1-r.ramp)*part
@@ -355,6 +373,19 @@
 	}
 }
 
+// trialShare grows with good exchanges, so that a server that has recovered is
+// known soon. Where only the path from this VM is suspected, few requests come
+// by and a failure is no load on the server.
+func (r *record) trialShare() float64 {
+	if r.mine {
+		return pathWeight
+	}
+	if r.failed > 0 {
+		return trialWeight
+	}
+	return min(trialMost, trialWeight*float64(1+r.passed))
+}
+
 // keepFloor raises the least suspect servers until as many as the floor asks
 // for are usable. Servers that are draining, cold or leaving have no capacity.
 func (g *Group) keepFloor(now time.Time) {
--- a/health/record.go
+++ b/health/record.go
@@ -55,18 +55,19 @@
 	heardAt time.Time
 
 	// Decision.
-	tally   tally
-	score   float64 // Evidence of all VMs, in nats.
-	level   float64 // Highest recent score; decays.
-	levelAt time.Time
-	state   State
-	since   time.Time
-	until   time.Time // End of an ejection.
-	flaps   float64   // Ejections, decaying while the server is healthy.
-	flapsAt time.Time
-	ramp    float64 // Weight at the start of a slow start.
-	weight  float64
-	reason  string
+	tally     tally
+	score     float64 // Evidence of all VMs, in nats.
+	level     float64 // Highest recent score; decays.
+	levelAt   time.Time
+	suspectAt time.Time // Last evidence against the server.
+	state     State
+	since     time.Time
+	until     time.Time // End of an ejection.
+	flaps     float64   // Ejections, decaying while the server is healthy.
+	flapsAt   time.Time
+	ramp      float64 // Weight at the start of a slow start.
+	weight    float64
+	reason    string
 }
 
 // tally is the evidence of a window.
