--- a/health/decide.go
+++ b/health/decide.go
@@ -10,8 +10,8 @@
 const (
 	reducedWeight   = 0.1
 	trialWeight     = 0.05
-	trialMost       = 0.1 // Share after good exchanges of a trial.
-	pathWeight      = 0.2 // Share where only the path from this VM is suspected.
+	trialMost       = 0.1  // Share after good exchanges of a trial.
+	pathWeight      = 0.05 // Share where only the path from this VM is suspected.
 	coldWeight      = 0.05
 	startWeight     = 0.2
 	usableWeight    = 0.5 // Least weight that counts towards the floor.
@@ -25,6 +25,7 @@
 	suspectHold     = 10 * time.Second
 	zoneShare       = 0.6             // The same within one zone.
 	recentEjection  = 0.5             // Decayed count of ejections.
+	pathPasses      = 2               // Good exchanges that clear a suspected path.
 	failureAge      = 3 * time.Second // Older failures justify no ejection.
 	retrialFailures = 2               // Failed exchanges of a trial that end it.
 	twoOrigins      = 2               // VMs that must agree on an ejection where there are peers.
@@ -37,6 +38,7 @@
 	suspects  int
 	good, bad float64 // Exchanges, without the worst servers.
 	trimmed   int
+	paths     int   // Servers to which only the path from this VM is suspected.
 	own       tally // Exchanges of this VM alone.
 }
 
@@ -119,7 +121,7 @@
 // affects the service.
 func (g *Group) judge(now time.Time) bool {
 	for i := range g.zones {
-		g.zones[i].suspects = 0
+		g.zones[i].suspects, g.zones[i].paths = 0, 0
 	}
 	suspects, capacity := 0, 0
 	for _, r := range g.records {
@@ -131,6 +133,9 @@
 			continue
 		}
 		capacity++
+		if r.mine {
+			g.zones[r.zoneIndex].paths++
+		}
 		if r.suspect(now, g.policy) {
 			suspects++
 			g.zones[r.zoneIndex].suspects++
@@ -269,11 +274,17 @@
 
 // pathCause reports whether the exchanges of this VM with all servers of the
 // zone together are bad, and this server gave no good one. A VM that is cut off
-// from a zone sees this long before it has enough evidence on each server.
+// from a zone sees this long before it has enough evidence on each server. Once
+// the path to half of the zone is suspected, one bad exchange is enough.
 func (g *Group) pathCause(r *record) bool {
-	own := g.zones[r.zoneIndex].own
-	return len(g.zones) > 1 && r.tally.ownGood == 0 &&
-		own.good*g.base.good+own.bad*g.base.bad >= g.policy.reduce
+	z := &g.zones[r.zoneIndex]
+	if len(g.zones) < 2 || r.tally.ownGood > 0 {
+		return false
+	}
+	if r.tally.own > 0 && z.paths > 1 && 2*z.paths >= z.servers {
+		return true
+	}
+	return z.own.good*g.base.good+z.own.bad*g.base.bad >= g.policy.reduce
 }
 
 func (g *Group) stallEvidence(r *record) float64 {
@@ -320,7 +331,11 @@
 
 // returns reports whether enough exchanges of the current state were good.
 func (r *record) returns(p Policy) bool {
-	return r.passed >= p.passes+2*r.failed && !r.stalled
+	need := p.passes
+	if r.mine {
+		need = pathPasses
+	}
+	return r.passed >= need+2*r.failed && !r.stalled
 }
 
 // stepTrial waits before an ejection for longer than a few long requests can
