health: cumulative evidence on the path to a zone

Cause: the window holds too few exchanges of a slow service with a zone. Change: a cumulative sum per zone, as per server.

--- a/health/baseline.go
+++ b/health/baseline.go
@@ -99,14 +99,15 @@
 	g.order = g.order[:0]
 	for i := range g.zones {
 		g.zones[i].good, g.zones[i].bad, g.zones[i].trimmed = 0, 0, 0
-		g.zones[i].own = tally{}
+		g.zones[i].stalls = 0
 	}
 	for i, r := range g.records {
 		z := &g.zones[r.zoneIndex]
 		z.good += r.tally.good
 		z.bad += r.tally.bad
-		z.own.good += r.tally.ownGood
-		z.own.bad += r.tally.own
+		if r.stalled {
+			z.stalls++
+		}
 		if r.tally.bad > 0 {
 			g.order = append(g.order, i)
 		}
--- a/health/decide.go
+++ b/health/decide.go
@@ -38,12 +38,17 @@
 	suspects  int
 	good, bad float64 // Exchanges, without the worst servers.
 	trimmed   int
-	paths     int   // Servers to which only the path from this VM is suspected.
-	own       tally // Exchanges of this VM alone.
+	paths     int // Servers to which only the path from this VM is suspected.
+	path      sum // Evidence of this VM against the zone.
+	stalls    float64
 }
 
 func (g *Group) countZones() {
+	old := slices.Clone(g.zones)
 	g.zones = g.zones[:0]
+	for _, z := range old {
+		g.zones = append(g.zones, zoneCount{name: z.name, path: z.path})
+	}
 	for _, r := range g.records {
 		r.zoneIndex = g.zoneOf(r.zone)
 		g.zones[r.zoneIndex].servers++
@@ -83,7 +88,7 @@
 
 // count sums up the evidence of all VMs about the server.
 func (r *record) count(now time.Time, window time.Duration) {
-	sum := r.sum(now, window)
+	sum := r.total(now, window)
 	t := tally{good: float64(sum.good), ownGood: float64(sum.good), own: float64(sum.bad)}
 	if r.stalled {
 		t.own++
@@ -242,7 +247,7 @@
 func (r *record) restart(now time.Time, reason string) {
 	r.enter(now, Starting, reason)
 	r.ramp = startWeight
-	r.own, r.level = 0, 0
+	r.own, r.level = sum{}, 0
 }
 
 func (g *Group) stepUp(now time.Time, r *record, shared bool) {
@@ -255,7 +260,7 @@
 		r.enter(now, Reduced, "path to the zone")
 		r.mine = r.tally.against == 0
 		return
-	case r.decayed(now)+g.stallEvidence(r) >= g.policy.reduce:
+	case r.own.at(now)+g.stallEvidence(r) >= g.policy.reduce:
 		local := r.local()
 		r.enter(now, Reduced, "evidence of this VM")
 		if local {
@@ -284,7 +289,7 @@
 	if r.tally.own > 0 && z.paths > 1 && 2*z.paths >= z.servers {
 		return true
 	}
-	return z.own.good*g.base.good+z.own.bad*g.base.bad >= g.policy.reduce
+	return z.path.value+z.stalls*g.base.bad >= g.policy.reduce
 }
 
 func (g *Group) stallEvidence(r *record) float64 {
--- a/health/health.go
+++ b/health/health.go
@@ -190,7 +190,7 @@
 		r.passed++
 		r.passedAt = now
 	}
-	r.own = max(0, r.decayed(now)+g.base.good)
+	g.weigh(now, r, g.base.good)
 }
 
 func (g *Group) bad(now time.Time, r *record, s board.Sample, count uint32) {
@@ -200,7 +200,13 @@
 		r.failedAt = now
 		r.ownFail = true
 	}
-	r.own = r.decayed(now) + float64(count)*g.base.bad
+	g.weigh(now, r, float64(count)*g.base.bad)
+}
+
+// weigh adds evidence of this VM to the server and to the path to its zone.
+func (g *Group) weigh(now time.Time, r *record, evidence float64) {
+	r.own.add(now, evidence)
+	g.zones[r.zoneIndex].path.add(now, evidence)
 }
 
 // Flights takes in what this VM has in flight; a server that is not listed has
--- a/health/record.go
+++ b/health/record.go
@@ -30,8 +30,7 @@
 
 	// Evidence of this VM.
 	buckets   [bucketCount + 1]bucket
-	own       float64 // Cumulative sum of evidence, at least 0, in nats.
-	ownAt     time.Time
+	own       sum
 	stalled   bool
 	stallFrom time.Time
 	typical   float64 // Estimated median, natural log of seconds.
@@ -70,6 +69,24 @@
 	reason    string
 }
 
+// sum is a cumulative sum of evidence in nats that never falls below 0, after
+// Page, Continuous Inspection Schemes, Biometrika 1954. It decays, so that old
+// evidence is forgotten where there is little traffic.
+type sum struct {
+	value   float64
+	changed time.Time
+}
+
+func (s *sum) at(now time.Time) float64 {
+	if s.value > 0 {
+		s.value *= math.Exp2(-float64(now.Sub(s.changed)) / float64(ownHalfLife))
+	}
+	s.changed = now
+	return s.value
+}
+
+func (s *sum) add(now time.Time, evidence float64) { s.value = max(0, s.at(now)+evidence) }
+
 // tally is the evidence of a window.
 type tally struct {
 	good    float64
@@ -91,8 +108,8 @@
 	return b
 }
 
-// sum returns the exchanges of the window.
-func (r *record) sum(now time.Time, window time.Duration) bucket {
+// total returns the exchanges of the window.
+func (r *record) total(now time.Time, window time.Duration) bucket {
 	slot := now.UnixNano() / (int64(window) / bucketCount)
 	var out bucket
 	for i := range r.buckets {
@@ -107,14 +124,6 @@
 	return out
 }
 
-func (r *record) decayed(now time.Time) float64 {
-	if r.own > 0 {
-		r.own *= math.Exp2(-float64(now.Sub(r.ownAt)) / float64(ownHalfLife))
-	}
-	r.ownAt = now
-	return r.own
-}
-
 // learn moves the median estimate by a fixed step towards the sample, so one
 // extreme sample moves it no more than any other.
 func (r *record) learn(took time.Duration) {
--- a/health/share.go
+++ b/health/share.go
@@ -175,7 +175,7 @@
 }
 
 func (g *Group) ownReport(now time.Time, r *record) (Report, bool) {
-	sum := r.sum(now, g.policy.window)
+	sum := r.total(now, g.policy.window)
 	p := Report{
 		server:      r.addr,
 		good:        min(sum.good, maxCount),
