health: keep suspected paths out of the shared cause; replay: hedge again

Cause: servers behind a suspected path counted as suspects of a shared cause and were released; a hedge that also met a lost path had no third attempt. Change: they count only for their zone; the newest open attempt may be hedged within the budget, three attempts at most.

--- a/health/decide.go
+++ b/health/decide.go
@@ -137,10 +137,11 @@
 		if !r.capacity(now) {
 			continue
 		}
-		capacity++
 		if r.mine {
 			g.zones[r.zoneIndex].paths++
+			continue
 		}
+		capacity++
 		if r.suspect(now, g.policy) {
 			suspects++
 			g.zones[r.zoneIndex].suspects++
@@ -178,9 +179,6 @@
 	if low && r.failedAt.After(r.suspectAt) {
 		r.suspectAt = r.failedAt
 	}
-	if r.state == Reduced && r.since.After(r.suspectAt) {
-		r.suspectAt = r.since
-	}
 	return !r.suspectAt.IsZero() && now.Sub(r.suspectAt) < suspectHold
 }
 
@@ -188,7 +186,7 @@
 // are other zones.
 func (g *Group) zoneCause(zone int) bool {
 	z := &g.zones[zone]
-	return len(g.zones) > 1 && z.servers > 1 && float64(z.suspects) >= zoneShare*float64(z.servers)
+	return len(g.zones) > 1 && z.servers > 1 && float64(z.suspects+z.paths) >= zoneShare*float64(z.servers)
 }
 
 // local reports whether other VMs exchange well with a server that this VM
@@ -255,14 +253,17 @@
 	case shared:
 	case r.score >= g.policy.reduce:
 		r.enter(now, Reduced, "evidence of several VMs")
+		r.suspectAt = now
 		return
 	case g.pathCause(r):
 		r.enter(now, Reduced, "path to the zone")
+		r.suspectAt = now
 		r.mine = r.tally.against == 0
 		return
 	case r.own.at(now)+g.stallEvidence(r) >= g.policy.reduce:
 		local := r.local()
 		r.enter(now, Reduced, "evidence of this VM")
+		r.suspectAt = now
 		if local {
 			r.enter(now, Trial, "bad from this VM only")
 		}
--- a/replay/vm.go
+++ b/replay/vm.go
@@ -125,7 +125,7 @@
 }
 
 func (r *request) hedge(a *attempt) {
-	if !r.done && !a.over && len(r.open) == 1 {
+	if !r.done && !a.over && r.open[len(r.open)-1] == a {
 		r.again()
 	}
 }
