replay: detection is the first decision that lowers the share

Any decision that lowers its weight after the first affected request now counts, which is what the requirement says. Spans of slow, flap1, flap5 and wrong are 20 min.

--- a/replay/sim.go
+++ b/replay/sim.go
@@ -114,6 +114,7 @@
 		c := newControl(s.policy, svc, uint64(originOffset+i), s.clock(0), random)
 		v.controls = append(v.controls, c)
 		v.flights = append(v.flights, make([][]*attempt, len(svc.servers)))
+		v.weights = append(v.weights, make([]float64, len(svc.servers)))
 		v.reduced = append(v.reduced, make([]bool, len(svc.servers)))
 		v.ejected = append(v.ejected, make([]bool, len(svc.servers)))
 		v.budget = append(v.budget, budgetBurst)
--- a/replay/vm.go
+++ b/replay/vm.go
@@ -22,6 +22,7 @@
 	ticks    int
 	controls []*control
 	flights  [][][]*attempt // By service and server.
+	weights  [][]float64    // Of the last decisions.
 	reduced  [][]bool
 	ejected  [][]bool
 	budget   []float64 // Retries and hedges left, by service.
@@ -265,15 +266,20 @@
 // note records a change of the decision about one server.
 func (v *vm) note(svc *service, k int) {
 	view := v.controls[svc.index].views[k]
+	lowered := view.weight < v.weights[svc.index][k]
+	v.weights[svc.index][k] = view.weight
 	reduced := view.state == health.Reduced || view.state == health.Trial || view.state == health.Ejected
 	ejected := view.state == health.Ejected
 	wasReduced, wasEjected := &v.reduced[svc.index][k], &v.ejected[svc.index][k]
 	if reduced != *wasReduced {
 		*wasReduced = reduced
-		if reduced {
-			v.sim.reduce(svc, k)
+		if reduced && !v.sim.justified(svc, k) {
+			v.sim.result.reductions++
 		}
 	}
+	if lowered {
+		v.sim.detect(svc, k)
+	}
 	if ejected != *wasEjected {
 		*wasEjected = ejected
 		if ejected && !v.sim.justified(svc, k) {
@@ -292,10 +298,9 @@
 	return false
 }
 
-func (s *sim) reduce(svc *service, k int) {
-	if !s.justified(svc, k) {
-		s.result.reductions++
-	}
+// detect notes a decision that lowered the share of the server. It counts for
+// the faults that have met a request by now.
+func (s *sim) detect(svc *service, k int) {
 	half := 0
 	for _, v := range s.vms {
 		if v.reduced[svc.index][k] {
