health: a gap starts a new count of failures

Cause: a slow exchange after recovery joined failures of the fault and ejected the server again. Change: failures more than 10 s apart do not add up; three in a row, seen by two VMs, end a trial.

--- a/health/decide.go
+++ b/health/decide.go
@@ -23,11 +23,12 @@
 	sharedRate      = 0.2 // Share of bad exchanges of the typical server, likewise.
 	sharedHold      = 5 * time.Second
 	suspectHold     = 10 * time.Second
-	zoneShare       = 0.6             // The same within one zone.
-	recentEjection  = 0.5             // Decayed count of ejections.
+	zoneShare       = 0.6 // The same within one zone.
+	recentEjection  = 0.5 // Decayed count of ejections.
+	failureGap      = 10 * time.Second
 	pathPasses      = 2               // Good exchanges that clear a suspected path.
 	failureAge      = 3 * time.Second // Older failures justify no ejection.
-	retrialFailures = 2               // Failed exchanges of a trial that end it.
+	retrialFailures = 3               // Failed exchanges of a trial that end it.
 	twoOrigins      = 2               // VMs that must agree on an ejection where there are peers.
 )
 
--- a/health/health.go
+++ b/health/health.go
@@ -196,8 +196,7 @@
 func (g *Group) bad(now time.Time, r *record, s board.Sample, count uint32) {
 	r.bucket(now, g.policy.window).bad += count
 	if s.Start.After(r.since) {
-		r.failed++
-		r.failedAt = now
+		r.fail(now, 1)
 		r.ownFail = true
 	}
 	g.weigh(now, r, float64(count)*g.base.bad)
--- a/health/record.go
+++ b/health/record.go
@@ -41,8 +41,9 @@
 	failed   int
 	passedAt time.Time
 	failedAt time.Time
-	ownFail  bool // This VM has seen one of the failed exchanges.
-	mine     bool // Only the exchanges of this VM count: the cause is on its path.
+	failFrom time.Time // Start of the current run of failures.
+	ownFail  bool      // This VM has seen one of the failed exchanges.
+	mine     bool      // Only the exchanges of this VM count: the cause is on its path.
 
 	// What the server states about itself, and probes.
 	drainAt     time.Time
@@ -174,10 +175,25 @@
 
 func (r *record) enter(now time.Time, s State, reason string) {
 	r.state, r.since, r.reason = s, now, reason
-	r.passedAt, r.failedAt = time.Time{}, time.Time{}
+	r.passedAt, r.failedAt, r.failFrom = time.Time{}, time.Time{}, time.Time{}
 	r.passed, r.failed, r.ownFail, r.mine = 0, 0, false, false
 }
 
+// fail counts failures that began in the current state. A gap starts a new run:
+// natural failures of different times do not add up to an ejection.
+func (r *record) fail(at time.Time, n int) {
+	if at.Sub(r.failedAt) > failureGap {
+		r.failed, r.ownFail, r.failFrom = 0, false, at
+	}
+	r.failed += n
+	if at.After(r.failedAt) {
+		r.failedAt = at
+	}
+	if at.Before(r.failFrom) {
+		r.failFrom = at
+	}
+}
+
 // recount starts the count of exchanges anew, so that a long state ends on
 // recent ones.
 func (r *record) recount(now time.Time) {
--- a/health/share.go
+++ b/health/share.go
@@ -74,9 +74,9 @@
 			r.passed += int(p.good)
 			r.passedAt = at
 		}
-		r.failed += int(min(p.bad+p.stalled, originLimit))
-		if p.bad+p.stalled > 0 {
-			w.failed, r.failedAt = at, at
+		if n := int(min(p.bad+p.stalled, originLimit)); n > 0 {
+			r.fail(at, n)
+			w.failed = at
 		}
 	}
 }
@@ -215,15 +215,17 @@
 	return out
 }
 
-// witnesses returns how many VMs saw exchanges fail that began in the current
-// state.
+// witnesses returns how many VMs saw the current run of failures.
 func (r *record) witnesses() int {
+	if r.failed == 0 {
+		return 0
+	}
 	n := 0
 	if r.ownFail {
 		n++
 	}
 	for i := range r.words {
-		if r.words[i].failed.After(r.since) {
+		if !r.words[i].failed.Before(r.failFrom) {
 			n++
 		}
 	}
