--- a/health/policy.go
+++ b/health/policy.go
@@ -39,6 +39,7 @@
 		window:  scale(1500*time.Millisecond, 1+bias/3),
 		reduce:  13 + 4*bias,
 		confirm: scale(2*time.Second, 1+bias),
+		trial:   scale(16*time.Second, 1+bias),
 		margin:  2 + bias/2,
 		passes:  4,
 		base:    8 * time.Second,
