--- a/health/baseline.go
+++ b/health/baseline.go
@@ -16,7 +16,7 @@
 	badAtLeast    = 0.01
 	badAtMost     = 0.75
 	trimShare     = 0.25 // Worst servers left out of the rate of the service.
-	rateInertia   = 8    // Good exchanges that a rate assumes, so that one bad one is no trend.
+	rateInertia   = 4    // Good exchanges that a rate assumes, so that one bad one is no trend.
 	refreshPeriod = time.Second
 	sampleServers = 512 // Servers whose medians are compared at most.
 )
@@ -94,21 +94,25 @@
 
 // rate returns the share of bad exchanges of the typical server: of each zone
 // without its worst servers, then the median of the zones. Neither an unhealthy
-// server nor a slow zone raises it; a cause that all servers share does.
+// server nor a slow zone raises it; a cause that all servers share does. Only
+// exchanges of this VM count, since peers do not report good servers.
 func (g *Group) rate() float64 {
 	g.order = g.order[:0]
 	for i := range g.zones {
-		g.zones[i].good, g.zones[i].bad, g.zones[i].trimmed = 0, 0, 0
-		g.zones[i].stalls = 0
+		z := &g.zones[i]
+		z.good, z.bad, z.trimmed, z.stalls, z.failing = 0, 0, 0, 0, 0
 	}
 	for i, r := range g.records {
 		z := &g.zones[r.zoneIndex]
-		z.good += r.tally.good
-		z.bad += r.tally.bad
+		z.good += r.tally.ownGood
+		z.bad += r.tally.own
 		if r.stalled {
 			z.stalls++
 		}
-		if r.tally.bad > 0 {
+		if r.stalled || r.own.value >= g.base.bad/2 {
+			z.failing++
+		}
+		if r.tally.own > 0 {
 			g.order = append(g.order, i)
 		}
 	}
@@ -116,7 +120,7 @@
 		return 0
 	}
 	slices.SortStableFunc(g.order, func(a, b int) int {
-		return cmp.Compare(g.records[b].tally.bad, g.records[a].tally.bad)
+		return cmp.Compare(g.records[b].tally.own, g.records[a].tally.own)
 	})
 	for _, i := range g.order {
 		g.zones[g.records[i].zoneIndex].trim(g.records[i].tally)
@@ -135,8 +139,8 @@
 		return
 	}
 	z.trimmed++
-	z.good -= t.good
-	z.bad -= t.bad
+	z.good -= t.ownGood
+	z.bad -= t.own
 }
 
 func (z *zoneCount) rate() float64 {
--- a/health/decide.go
+++ b/health/decide.go
@@ -23,8 +23,9 @@
 	sharedRate      = 0.2 // Share of bad exchanges of the typical server, likewise.
 	sharedHold      = 5 * time.Second
 	suspectHold     = 10 * time.Second
-	zoneShare       = 0.6 // The same within one zone.
-	recentEjection  = 0.5 // Decayed count of ejections.
+	zoneShare       = 0.6              // The same within one zone.
+	recentEjection  = 0.5              // Decayed count of ejections.
+	probeTrust      = 30 * time.Second // A failing probe delays a trial by this at most.
 	failureGap      = 10 * time.Second
 	pathPasses      = 2               // Good exchanges that clear a suspected path.
 	failureAge      = 3 * time.Second // Older failures justify no ejection.
@@ -42,27 +43,30 @@
 	paths     int // Servers to which only the path from this VM is suspected.
 	path      sum // Evidence of this VM against the zone.
 	stalls    float64
+	failing   int // Servers that this VM has evidence against.
 }
 
+// countZones counts the servers of each zone. The evidence on the path to a
+// zone stays.
 func (g *Group) countZones() {
-	old := slices.Clone(g.zones)
-	g.zones = g.zones[:0]
-	for _, z := range old {
-		g.zones = append(g.zones, zoneCount{name: z.name, path: z.path})
-	}
+	old := g.zones
+	g.zones = make([]zoneCount, 0, len(old)+1)
 	for _, r := range g.records {
-		r.zoneIndex = g.zoneOf(r.zone)
+		r.zoneIndex = g.zoneOf(r.zone, old)
 		g.zones[r.zoneIndex].servers++
 	}
 }
 
-func (g *Group) zoneOf(name string) int {
-	for i := range g.zones {
-		if g.zones[i].name == name {
-			return i
-		}
+func (g *Group) zoneOf(name string, old []zoneCount) int {
+	byName := func(z zoneCount) bool { return z.name == name }
+	if i := slices.IndexFunc(g.zones, byName); i >= 0 {
+		return i
 	}
-	g.zones = append(g.zones, zoneCount{name: name})
+	z := zoneCount{name: name}
+	if i := slices.IndexFunc(old, byName); i >= 0 {
+		z.path = old[i].path
+	}
+	g.zones = append(g.zones, z)
 	return len(g.zones) - 1
 }
 
@@ -210,7 +214,7 @@
 	case Trial:
 		g.stepTrial(now, r, shared)
 	case Ejected:
-		if !now.Before(r.until) && !r.probeFails {
+		if !now.Before(r.until) && (!r.probeFails || now.Sub(r.until) >= probeTrust) {
 			r.enter(now, Trial, "ejection over")
 		}
 	case Draining, Leaving:
@@ -227,12 +231,12 @@
 			r.enter(now, Leaving, "leaving by release")
 		}
 		return true
-	case c == Drains:
+	case c == ConditionDraining:
 		if r.state != Draining {
 			r.enter(now, Draining, "refuses new work")
 		}
 		return true
-	case c == Warms:
+	case c == ConditionCold:
 		if r.state != Starting {
 			r.enter(now, Starting, "cold")
 		}
@@ -282,7 +286,8 @@
 // pathCause reports whether the exchanges of this VM with all servers of the
 // zone together are bad, and this server gave no good one. A VM that is cut off
 // from a zone sees this long before it has enough evidence on each server. Once
-// the path to half of the zone is suspected, one bad exchange is enough.
+// the path to half of the zone is suspected, one bad exchange is enough. One
+// failing server is no reason to suspect the path.
 func (g *Group) pathCause(r *record) bool {
 	z := &g.zones[r.zoneIndex]
 	if len(g.zones) < 2 || r.tally.ownGood > 0 {
@@ -291,6 +296,9 @@
 	if r.tally.own > 0 && z.paths > 1 && 2*z.paths >= z.servers {
 		return true
 	}
+	if z.failing < max(2, (z.servers+2)/3) {
+		return false
+	}
 	return z.path.value+z.stalls*g.base.bad >= g.policy.reduce
 }
 
--- a/health/health.go
+++ b/health/health.go
@@ -10,7 +10,7 @@
 	"github.com/azuredeal/azuredeal/board"
 )
 
-//go:generate stringer -type=State,Condition -output=health_string.go
+//go:generate stringer -type=State,Condition -trimprefix=Condition -output=health_string.go
 
 // State is what a group has decided about a backend server.
 type State uint8
@@ -241,7 +241,7 @@
 		r.probeFailAt = now
 	}
 	if ok && r.probeFails && r.probeFailAt.After(r.drainAt) {
-		r.drainAt = time.Time{}
+		r.backAt = now
 	}
 	r.probeFails = !ok
 }
--- a/health/record.go
+++ b/health/record.go
@@ -47,6 +47,7 @@
 
 	// What the server states about itself, and probes.
 	drainAt     time.Time
+	backAt      time.Time // A new process answers since then.
 	coldAt      time.Time
 	probeFails  bool
 	probeFailAt time.Time
@@ -159,18 +160,18 @@
 
 func (r *record) condition(now time.Time) Condition {
 	switch {
-	case !r.drainAt.IsZero() && now.Sub(r.drainAt) < drainHold:
-		return Drains
+	case r.drainAt.After(r.backAt) && now.Sub(r.drainAt) < drainHold:
+		return ConditionDraining
 	case !r.coldAt.IsZero() && now.Sub(r.coldAt) < coldHold:
-		return Warms
+		return ConditionCold
 	default:
-		return Normal
+		return ConditionNormal
 	}
 }
 
 // capacity reports whether the server may count towards the floor.
 func (r *record) capacity(now time.Time) bool {
-	return !r.leaving && r.condition(now) == Normal
+	return !r.leaving && r.condition(now) == ConditionNormal
 }
 
 func (r *record) enter(now time.Time, s State, reason string) {
--- a/health/report.go
+++ b/health/report.go
@@ -12,9 +12,12 @@
 
 // The conditions.
 const (
-	Normal Condition = iota
-	Drains
-	Warms
+	// ConditionNormal: it has refused nothing lately.
+	ConditionNormal Condition = iota
+	// ConditionDraining: it refuses new work because it is going away.
+	ConditionDraining
+	// ConditionCold: it refuses work because it is starting.
+	ConditionCold
 )
 
 // Report is the evidence of one VM about one backend server over its window.
@@ -92,9 +95,9 @@
 
 func conditionToWire(c Condition) wire.Condition {
 	switch c {
-	case Drains:
+	case ConditionDraining:
 		return wire.Condition_CONDITION_DRAINING
-	case Warms:
+	case ConditionCold:
 		return wire.Condition_CONDITION_COLD
 	default:
 		return wire.Condition_CONDITION_NORMAL
@@ -104,11 +107,11 @@
 func conditionFromWire(c wire.Condition) Condition {
 	switch c {
 	case wire.Condition_CONDITION_DRAINING:
-		return Drains
+		return ConditionDraining
 	case wire.Condition_CONDITION_COLD:
-		return Warms
+		return ConditionCold
 	default:
-		return Normal
+		return ConditionNormal
 	}
 }
 
--- a/health/share.go
+++ b/health/share.go
@@ -43,13 +43,13 @@
 		}
 		at := now.Add(-p.age)
 		switch p.condition {
-		case Drains:
+		case ConditionDraining:
 			r.drains(at)
-		case Warms:
+		case ConditionCold:
 			if at.After(r.coldAt) {
 				r.coldAt = at
 			}
-		case Normal:
+		case ConditionNormal:
 		}
 		if p.good+p.bad+p.stalled+p.unreachable > 0 && p.age < wordAge {
 			r.hear(at, p, g.policy.window)
@@ -146,8 +146,8 @@
 }
 
 func byUrgency(a, b Report) int {
-	if (a.condition == Drains) != (b.condition == Drains) {
-		if a.condition == Drains {
+	if (a.condition == ConditionDraining) != (b.condition == ConditionDraining) {
+		if a.condition == ConditionDraining {
 			return -1
 		}
 		return 1
@@ -157,7 +157,7 @@
 
 // notable reports whether anyone holds something against the server.
 func (r *record) notable(now time.Time) bool {
-	if r.condition(now) != Normal || r.stalled || r.tally.bad > 0 {
+	if r.condition(now) != ConditionNormal || r.stalled || r.tally.bad > 0 {
 		return true
 	}
 	if r.state == Reduced || r.state == Trial {
@@ -189,16 +189,16 @@
 		p.stalled = 1
 	}
 	switch p.condition {
-	case Drains:
+	case ConditionDraining:
 		p.age = now.Sub(r.drainAt)
-	case Warms:
+	case ConditionCold:
 		p.age = now.Sub(r.coldAt)
-	case Normal:
+	case ConditionNormal:
 	}
-	if p.condition != Normal && p.age >= wordAge {
+	if p.condition != ConditionNormal && p.age >= wordAge {
 		p.good, p.bad, p.stalled, p.unreachable = 0, 0, 0, 0
 	}
-	return p, p.condition != Normal || p.good+p.bad+p.stalled+p.unreachable > 0
+	return p, p.condition != ConditionNormal || p.good+p.bad+p.stalled+p.unreachable > 0
 }
 
 func (r *record) relay(now time.Time, out []Report) []Report {
@@ -209,7 +209,7 @@
 		}
 		p := w.Report
 		p.age = age
-		p.condition = Normal // The own report carries the condition.
+		p.condition = ConditionNormal // The own report carries the condition.
 		out = append(out, p)
 	}
 	return out
