--- a/health/health.go
+++ b/health/health.go
@@ -10,7 +10,7 @@
 	"github.com/azuredeal/azuredeal/board"
 )
 
-//go:generate stringer -type=State,Condition -output=health_string.go
+//go:generate stringer -type=State,Condition -trimprefix=Condition -output=health_string.go
 
 // State is what a group has decided about a backend server.
 type State uint8
@@ -190,17 +190,22 @@
 		r.passed++
 		r.passedAt = now
 	}
-	r.own = max(0, r.decayed(now)+g.base.good)
+	g.weigh(now, r, g.base.good)
 }
 
 func (g *Group) bad(now time.Time, r *record, s board.Sample, count uint32) {
 	r.bucket(now, g.policy.window).bad += count
 	if s.Start.After(r.since) {
-		r.failed++
-		r.failedAt = now
+		r.fail(now, 1)
 		r.ownFail = true
 	}
-	r.own = r.decayed(now) + float64(count)*g.base.bad
+	g.weigh(now, r, float64(count)*g.base.bad)
+}
+
+// weigh adds evidence of this VM to the server and to the path to its zone.
+func (g *Group) weigh(now time.Time, r *record, evidence float64) {
+	r.own.add(now, evidence)
+	g.zones[r.zoneIndex].path.add(now, evidence)
 }
 
 // Flights takes in what this VM has in flight; a server that is not listed has
@@ -236,7 +241,7 @@
 		r.probeFailAt = now
 	}
 	if ok && r.probeFails && r.probeFailAt.After(r.drainAt) {
-		r.drainAt = time.Time{}
+		r.backAt = now
 	}
 	r.probeFails = !ok
 }
