limit: estimate the time of requests per class and try one that seems late

With one estimate for all classes, running bulk requests of 30 s made the queue refuse every lookup with a deadline of 2 s for as long as any of them ran. Each class now has its own estimate, its low quantile is the 5th percentile, and one request at a time that the estimate would refuse runs and corrects it. The new tests fail without each of these rules.

--- a/limit/lines.go
+++ b/limit/lines.go
@@ -150,16 +150,14 @@
 	return 0
 }
 
-// ahead returns about how many waiters are served before ask.
-func (l *lines) ahead(ask Ask) int {
+// ahead returns about how many waiters of each class are served before ask.
+func (l *lines) ahead(ask Ask) (ahead [classCount]int) {
 	c := l.classes[ask.Class]
 	inClass := min(c.count, (l.own(ask)+1)*c.turns.Len())
-	sum := inClass
-	for _, other := range l.classes {
-		if other != c {
-			turns := float64(inClass+1) * weights[other.class] / weights[c.class]
-			sum += min(other.count, int(turns))
-		}
+	for class, other := range l.classes {
+		turns := float64(inClass+1) * weights[class] / weights[ask.Class]
+		ahead[class] = min(other.count, int(turns))
 	}
-	return sum
+	ahead[ask.Class] = inClass
+	return ahead
 }
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -23,8 +23,9 @@
 	room    int
 	depth   int
 	running [classCount]int
+	probing [classCount]bool // A request runs that the estimate would refuse.
+	times   [classCount]times
 	lines   *lines
-	times   times
 }
 
 // waiter is a request in the queue. The fields that settle sets are written
@@ -35,6 +36,7 @@
 	done    chan struct{}
 	settled bool
 	err     error // Nil when the waiter was admitted.
+	probe   bool  // The estimate would refuse it.
 }
 
 func (w *waiter) settle(err error) {
@@ -96,19 +98,22 @@
 	if err := q.wait(ctx, w); err != nil {
 		return nil, err
 	}
-	return q.leaver(ask.Class, time.Now()), nil
+	return q.leaver(w, time.Now()), nil
 }
 
 // join admits the request, queues it or refuses it.
 func (q *Queue) join(ask Ask) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := time.Now()
-	if !q.canEnd(now, ask) {
-		return nil, fault.New(fault.DeadlineShort, "%d ms left, %d wait", ask.Deadline.Sub(now).Milliseconds(), q.lines.count)
-	}
 	w := &waiter{ask: ask, done: make(chan struct{})}
-	if q.hasRoom(ask.Class) && q.lines.empty(ask.Class) {
+	isFree := q.hasRoom(ask.Class) && q.lines.empty(ask.Class)
+	if late := q.isLate(time.Now(), ask, isFree); late {
+		w.probe = isFree && q.mayProbe(ask)
+		if !w.probe {
+			return nil, fault.New(fault.DeadlineShort, "%v left, %d wait", time.Until(ask.Deadline), q.lines.count)
+		}
+	}
+	if isFree {
 		q.admit(w)
 		return w, nil
 	}
@@ -158,7 +163,7 @@
 		q.lines.remove(w)
 		w.settle(err)
 	case w.err == nil && release:
-		q.release(w.ask.Class)
+		q.release(w)
 		return err
 	}
 	return w.err
@@ -174,14 +179,14 @@
 }
 
 // leaver returns the function that gives room back.
-func (q *Queue) leaver(class Class, start time.Time) func() {
+func (q *Queue) leaver(w *waiter, start time.Time) func() {
 	var once sync.Once
 	return func() {
 		once.Do(func() {
 			q.mu.Lock()
 			defer q.mu.Unlock()
-			q.times.add(time.Since(start))
-			q.release(class)
+			q.times[w.ask.Class].add(time.Since(start))
+			q.release(w)
 		})
 	}
 }
@@ -190,11 +195,17 @@
 
 func (q *Queue) admit(w *waiter) {
 	q.running[w.ask.Class]++
+	if w.probe {
+		q.probing[w.ask.Class] = true
+	}
 	w.settle(nil)
 }
 
-func (q *Queue) release(class Class) {
-	q.running[class]--
+func (q *Queue) release(w *waiter) {
+	q.running[w.ask.Class]--
+	if w.probe {
+		q.probing[w.ask.Class] = false
+	}
 	q.admitWaiting(time.Now())
 }
 
@@ -206,7 +217,7 @@
 		switch {
 		case w == nil:
 			return
-		case q.total() > 0 && q.tooLate(now, w.ask, 0):
+		case q.isLate(now, w.ask, true):
 			w.settle(fault.New(fault.DeadlineShort, "no room in time"))
 		default:
 			q.admit(w)
@@ -238,45 +249,57 @@
 	return min(q.room, max(1, int(float64(q.room)*bulkShare)))
 }
 
-// canEnd reports whether the request can end before its deadline. When nothing
-// runs only the deadline itself counts, so that one request at a time can
-// correct an estimate that would otherwise refuse all.
-func (q *Queue) canEnd(now time.Time, ask Ask) bool {
+// mayProbe reports whether the request may run although it seems late. One at a
+// time may in each class, so that an estimate from an outage, or from other kinds
+// of requests, is corrected instead of refusing a kind for good.
+func (q *Queue) mayProbe(ask Ask) bool {
+	return !q.probing[ask.Class] && time.Now().Before(ask.Deadline)
+}
+
+// isLate reports whether the request would miss its deadline when it starts now,
+// or otherwise when it has waited for its turn.
+func (q *Queue) isLate(now time.Time, ask Ask, isFree bool) bool {
 	if ask.Deadline.IsZero() {
-		return true
-	}
-	if q.total() == 0 && q.lines.count == 0 {
-		return now.Before(ask.Deadline)
+		return false
 	}
-	var wait time.Duration
-	if !q.hasRoom(ask.Class) || !q.lines.empty(ask.Class) {
-		wait = q.times.wait(q.lines.ahead(ask)+1, q.roomOf(ask.Class))
+	end := now.Add(q.times[ask.Class].fast)
+	if !isFree {
+		end = end.Add(q.waitOf(ask))
 	}
-	return !q.tooLate(now, ask, wait)
+	return !end.Before(ask.Deadline)
 }
 
-// tooLate reports whether a request that starts after wait would miss its deadline.
-func (q *Queue) tooLate(now time.Time, ask Ask, wait time.Duration) bool {
-	return !ask.Deadline.IsZero() && !now.Add(wait+q.times.fast).Before(ask.Deadline)
+// waitOf estimates how long the request would wait. Bulk requests hold their room
+// for long, so the other classes count on the rest of it.
+func (q *Queue) waitOf(ask Ask) time.Duration {
+	room := q.roomOf(ask.Class)
+	if ask.Class != Bulk {
+		room -= q.running[Bulk]
+	}
+	work := q.times[ask.Class].mean
+	for class, n := range q.lines.ahead(ask) {
+		work += time.Duration(n) * q.times[class].mean
+	}
+	return work / time.Duration(max(1, room))
 }
 
 func (q *Queue) latestStart(ask Ask) time.Time {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return ask.Deadline.Add(-q.times.fast)
+	return ask.Deadline.Add(-q.times[ask.Class].fast)
 }
 
 const (
-	meanWeight  = 0.1 // Weight of one more request in the mean.
-	fastPortion = 0.2 // Portion of requests that are faster than fast.
-	fastStep    = 0.2 // Step of the estimate of fast, as a share of it.
+	meanWeight  = 0.1  // Weight of one more request in the mean.
+	fastPortion = 0.05 // Portion of requests that are faster than fast.
+	fastStep    = 0.2  // Step of the estimate of fast, as a share of it.
 )
 
-// times estimates how long requests hold their room.
+// times estimates how long requests of one class hold their room.
 type times struct {
 	mean time.Duration // Says how fast the queue moves.
 	// fast is a low quantile. A request is refused for its own time only by this
-	// one, because a service has short and long requests.
+	// one, because a class has short and long requests.
 	fast time.Duration
 }
 
@@ -293,11 +316,3 @@
 		t.fast -= min(t.fast-took, time.Duration(fastStep*(1-fastPortion)*float64(t.fast))+1)
 	}
 }
-
-// wait returns the time until n requests have left, with room running at once.
-func (t *times) wait(n, room int) time.Duration {
-	if room <= 0 {
-		return 0
-	}
-	return t.mean * time.Duration(n) / time.Duration(room)
-}
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -90,11 +90,11 @@
 func TestQueueRefusesWhatCannotEnd(t *testing.T) {
 	withQueue(t, 1, 10, func(t *testing.T, r *requests) {
 		r.took = 100 * time.Millisecond
-		r.enter(t.Context(), "sets the estimate", limit.Ask{})
+		r.enter(t.Context(), "sets the estimate", ask(limit.Normal, ""))
 		r.group.Wait()
-		r.enter(t.Context(), "runs", limit.Ask{})
+		r.enter(t.Context(), "runs", ask(limit.Normal, ""))
 		r.took = time.Second
-		r.enter(t.Context(), "stalls", limit.Ask{})
+		r.enter(t.Context(), "stalls", ask(limit.Normal, ""))
 		begin := time.Now()
 		r.enter(t.Context(), "no time to run", within(90*time.Millisecond))
 		r.enter(t.Context(), "no time to wait", within(250*time.Millisecond))
@@ -111,27 +111,62 @@
 	})
 }
 
-// Guards against an estimate from an outage that refuses every request after it.
-func TestQueueEstimateRecovers(t *testing.T) {
-	withQueue(t, 10, 10, func(t *testing.T, r *requests) {
-		r.took = 5 * time.Second
-		for i := range 200 {
-			r.enter(t.Context(), fmt.Sprint("slow ", i), limit.Ask{})
-			if i%10 == 9 {
-				r.group.Wait()
-			}
-		}
-		r.took = 10 * time.Millisecond
-		for i := range 110 {
+// Guards against waiters that take room although their deadline has passed, as
+// after a pause of the VM.
+func TestQueueRefusesLateWaiters(t *testing.T) {
+	withQueue(t, 0, 50, func(t *testing.T, r *requests) {
+		for i := range 50 {
 			r.enter(t.Context(), fmt.Sprint(i), within(time.Second))
-			if i < 100 {
-				r.group.Wait()
-			}
 		}
-		r.wantErrs(t, nil)
+		time.Sleep(time.Second)
+		r.SetRoom(50)
+		synctest.Wait()
+		if n := len(r.admitted()); n != 0 {
+			t.Errorf("%d admitted at their deadline", n)
+		}
 	})
 }
 
+// Guards against an estimate from an outage, or from long requests of the same
+// or another class, that refuses short requests for good.
+func TestQueueEstimateRecovers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		long limit.Class
+		each int // Long requests that run beside two short ones.
+	}{{"outage", limit.Normal, 0}, {"same class", limit.Normal, 9}, {"other class", limit.Bulk, 9}} {
+		withQueue(t, 64, 64, func(t *testing.T, r *requests) {
+			r.took = 30 * time.Second
+			for i := range 200 {
+				r.enter(t.Context(), "long", ask(c.long, "a"))
+				if i%40 == 39 {
+					r.group.Wait()
+				}
+			}
+			for i := range 100 {
+				r.took = 30 * time.Second
+				for range c.each {
+					r.enter(t.Context(), "long", ask(c.long, "a"))
+				}
+				r.took = 10 * time.Millisecond
+				r.enter(t.Context(), fmt.Sprint("first ", i), within(time.Second))
+				r.enter(t.Context(), fmt.Sprint("second ", i), within(time.Second))
+				time.Sleep(10 * time.Second)
+			}
+			if c.long == limit.Normal {
+				// One at a time corrects the estimate.
+				if r.errs["second 0"] != fault.DeadlineShort {
+					t.Errorf("%s: a second request while the first one is tried: %v", c.name, r.errs["second 0"])
+				}
+				for i := range 50 {
+					delete(r.errs, fmt.Sprint("second ", i))
+				}
+			}
+			r.wantErrs(t, nil)
+		})
+	}
+}
+
 // Guards against an unbounded queue, and against bulk waiters or one account that
 // fill it so that others are refused.
 func TestQueueFull(t *testing.T) {
