--- a/idem/claims.go
+++ b/idem/claims.go
@@ -26,8 +26,8 @@
 	claimKnown  = 32_768          // Claims that are remembered, in each of two halves.
 	shardMost   = store.MaxValue - 64<<10
 
-	// claimGrace is how long after its expiry a claim is kept. It covers runs
-	// that began just before and clocks that differ.
+	// claimGrace is how long after its expiry a claim is kept. It covers a run
+	// that began just before, of up to runMost, and clocks that differ by the rest.
 	claimGrace = 10 * time.Minute
 
 	downFirst = 100 * time.Millisecond // First pause after a call that failed.
@@ -90,6 +90,9 @@
 // none. Every error leaves open whether the key has run: ClaimFailed, or Timeout
 // or Canceled when ctx ends.
 func (c *Claims) claim(ctx context.Context, key, body digest) (claim, error) {
+	if ctx.Err() != nil {
+		return claim{}, ended(ctx, "claim a key")
+	}
 	p := &pending{key: key, body: body, done: make(chan struct{})}
 	if got, ok, err := c.join(time.Now(), p); ok || err != nil {
 		return got, err
