pick: keep requests that must not run twice away from suspected servers

PickSteady does so on the request path: targets below half weight are left out while there are others. The fixtures of proxy's tests set both choices.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -108,36 +108,54 @@
 	return nil
 }
 
+// SteadyWeight is the least weight of a target that counts as steady: below it a
+// backend server is suspected or on trial.
+const SteadyWeight = 0.5
+
 // Pick returns a target that is not among tried, or nil when none has weight.
 //
 // It draws two targets with probability proportional to their capacity and
 // returns the less loaded one, so a target with a reduced weight still gets its
 // reduced share while the VM is idle. When the first draw is in another zone,
 // the second is from the zone of the VM.
-func (p *Picker) Pick(tried []*Target) *Target {
+func (p *Picker) Pick(tried []*Target) *Target { return p.pick(filter{tried: tried}) }
+
+// PickSteady is Pick for requests that must not run twice. It avoids targets
+// below SteadyWeight while there are others, so that trials of suspected backend
+// servers cost only requests that can be repeated elsewhere.
+func (p *Picker) PickSteady(tried []*Target) *Target {
+	if t := p.pick(filter{tried: tried, least: SteadyWeight}); t != nil {
+		return t
+	}
+	return p.Pick(tried)
+}
+
+func (p *Picker) pick(f filter) *Target {
 	v := p.view.Load()
 	if v == nil {
 		return nil
 	}
 	r := sequence(mix(p.seed ^ mix(p.picks.Add(1))))
-	a := v.draw(&r, v.all, tried, nil)
+	a := v.draw(&r, v.all, f)
 	if a == nil {
 		return nil
 	}
-	b := p.second(v, &r, tried, a)
+	f.not = a
+	b := p.second(v, &r, f)
 	if b == nil {
 		return a
 	}
 	return p.better(a, b)
 }
 
-func (p *Picker) second(v *view, r *sequence, tried []*Target, first *Target) *Target {
-	if first.zone != p.zone {
-		if t := v.draw(r, v.own, tried, first); t != nil {
+// second draws the second choice; the first is left out by f.
+func (p *Picker) second(v *view, r *sequence, f filter) *Target {
+	if f.not.zone != p.zone {
+		if t := v.draw(r, v.own, f); t != nil {
 			return t
 		}
 	}
-	return v.draw(r, v.all, tried, first)
+	return v.draw(r, v.all, f)
 }
 
 // better returns the choice between two draws; a was drawn first.
@@ -158,34 +176,33 @@
 	return other
 }
 
-// draw returns one of list with probability proportional to capacity. It skips
-// targets without weight, those in tried, and not.
-func (v *view) draw(r *sequence, list, tried []*Target, not *Target) *Target {
+// draw returns one of list with probability proportional to capacity.
+func (v *view) draw(r *sequence, list []*Target, f filter) *Target {
 	if len(list) == 0 {
 		return nil
 	}
 	for range drawTries {
 		t := list[r.intn(len(list))]
-		if usable(t, tried, not) && r.float()*float64(v.maxSlots) < t.capacity() {
+		if f.takes(t) && r.float()*float64(v.maxSlots) < t.capacity() {
 			return t
 		}
 	}
-	return scan(r, list, tried, not)
+	return scan(r, list, f)
 }
 
 // scan draws as draw does, in time proportional to the list. Weights may change
 // between its passes, so the last usable target stands in at the end.
-func scan(r *sequence, list, tried []*Target, not *Target) *Target {
+func scan(r *sequence, list []*Target, f filter) *Target {
 	var total float64
 	for _, t := range list {
-		if usable(t, tried, not) {
+		if f.takes(t) {
 			total += t.capacity()
 		}
 	}
 	left := r.float() * total
 	var last *Target
 	for _, t := range list {
-		if !usable(t, tried, not) {
+		if !f.takes(t) {
 			continue
 		}
 		last = t
@@ -197,8 +214,16 @@
 	return last
 }
 
-func usable(t *Target, tried []*Target, not *Target) bool {
-	return t != not && t.capacity() > 0 && !slices.Contains(tried, t)
+// filter says which targets a draw may return.
+type filter struct {
+	tried []*Target
+	not   *Target // One more that is left out.
+	least float64 // Weight.
+}
+
+// takes reports whether a draw may return t; a target without weight never.
+func (f filter) takes(t *Target) bool {
+	return t != f.not && t.capacity() > 0 && t.Weight() >= f.least && !slices.Contains(f.tried, t)
 }
 
 // sequence is a SplitMix64 generator. One per call needs no lock, where a
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -255,3 +255,21 @@
 		})
 	}
 }
+
+// Guards against a request that must not run twice and serves as the trial of a
+// suspected server while steady ones are there.
+func TestPickSteady(t *testing.T) {
+	list := targets(3, 1, 0)
+	list[0].SetWeight(0.05)
+	list[1].SetWeight(0)
+	p := pick.New("", 1)
+	p.Set(list)
+	for range 1000 {
+		if got := p.PickSteady(nil); got != list[2] {
+			t.Fatalf("picked %v", got)
+		}
+	}
+	if got := p.PickSteady(list[2:]); got != list[0] {
+		t.Errorf("picked %v, want the suspected server when there is no other", got)
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -249,10 +249,14 @@
 // the attempt counts in the limit.
 func (d *dispatch) next(tried []*pick.Target) (v *server, counted bool) {
 	c := d.call
+	choose := c.handler.choose
+	if !c.repeatable {
+		choose = c.handler.steady
+	}
 	var first *server
 	full := slices.Clip(tried)
 	for range limitTries {
-		t := c.handler.choose(c.service.picker, full)
+		t := choose(c.service.picker, full)
 		if t == nil {
 			break
 		}
--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -441,13 +441,14 @@
 func TestRequestAcrossReleases(t *testing.T) {
 	first, second := serveRaw(t, ok), serveRaw(t, ok)
 	f := newFixture(t, nil, first)
-	f.choose = func(p *pick.Picker, tried []*pick.Target) *pick.Target {
+	across := func(p *pick.Picker, tried []*pick.Target) *pick.Target {
 		if second.requests.Load() == 0 {
-			f.choose = inOrder
+			f.choose, f.steady = inOrder, inOrder
 			f.SetRelease(release(nil, second))
 		}
 		return inOrder(p, tried)
 	}
+	f.choose, f.steady = across, across
 	expect(t, f.do("POST", "/act", ""), 200, "", "")
 	failIf(t, first.requests.Load() != 0 || second.requests.Load() != 1, "%d and %d requests", first.requests.Load(), second.requests.Load())
 }
--- a/proxy/chaos_test.go
+++ b/proxy/chaos_test.go
@@ -65,7 +65,7 @@
 		backends = append(backends, serveRaw(t, x.handle))
 	}
 	f := newFixture(t, nil, backends...)
-	f.choose = (*pick.Picker).Pick
+	f.choose, f.steady = (*pick.Picker).Pick, (*pick.Picker).PickSteady
 	const callers, each = 16, 50
 	answers := make([]map[string]*http.Response, callers)
 	var group sync.WaitGroup
@@ -115,6 +115,7 @@
 	broken := func(c net.Conn, _ *http.Request, _ []byte) bool { return reset(c) }
 	first, second := serveRaw(t, broken), serveRaw(t, broken)
 	f := newFixture(t, nil, first, second)
+	f.steady = (*pick.Picker).PickSteady
 	f.choose, f.spend = (*pick.Picker).Pick, (*limit.Budget).Spend
 	const requests = 300
 	for range requests {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -78,6 +78,7 @@
 	held  atomic.Int64 // Bytes of request bodies.
 
 	choose func(p *pick.Picker, tried []*pick.Target) *pick.Target
+	steady func(p *pick.Picker, tried []*pick.Target) *pick.Target // For requests that must not run twice.
 	spend  func(b *limit.Budget) bool
 }
 
@@ -111,6 +112,7 @@
 		count:  newCounters(opts.Metrics, ""),
 		stem:   newStem(),
 		choose: (*pick.Picker).Pick,
+		steady: (*pick.Picker).PickSteady,
 		spend:  (*limit.Budget).Spend,
 	}
 	return h
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -125,7 +125,7 @@
 			f.samples = append(f.samples, s)
 		},
 	})
-	f.choose = inOrder
+	f.choose, f.steady = inOrder, inOrder
 	f.spend = func(*limit.Budget) bool { return true }
 	f.SetRelease(release(edit, backends...))
 	t.Cleanup(f.Close)
