--- a/health/decide.go
+++ b/health/decide.go
@@ -10,6 +10,8 @@
 const (
 	reducedWeight   = 0.1
 	trialWeight     = 0.05
+	trialMost       = 0.1  // Share after good exchanges of a trial.
+	pathWeight      = 0.05 // Share where only the path from this VM is suspected.
 	coldWeight      = 0.05
 	startWeight     = 0.2
 	usableWeight    = 0.5 // Least weight that counts towards the floor.
@@ -20,10 +22,14 @@
 	sharedShare     = 0.4 // Suspects above this share of the servers are a shared cause.
 	sharedRate      = 0.2 // Share of bad exchanges of the typical server, likewise.
 	sharedHold      = 5 * time.Second
-	zoneShare       = 0.6             // The same within one zone.
-	recentEjection  = 0.5             // Decayed count of ejections.
+	suspectHold     = 10 * time.Second
+	zoneShare       = 0.6              // The same within one zone.
+	recentEjection  = 0.5              // Decayed count of ejections.
+	probeTrust      = 30 * time.Second // A failing probe delays a trial by this at most.
+	failureGap      = 10 * time.Second
+	pathPasses      = 2               // Good exchanges that clear a suspected path.
 	failureAge      = 3 * time.Second // Older failures justify no ejection.
-	retrialFailures = 2               // Failed exchanges of a trial that end it.
+	retrialFailures = 3               // Failed exchanges of a trial that end it.
 	twoOrigins      = 2               // VMs that must agree on an ejection where there are peers.
 )
 
@@ -34,24 +40,33 @@
 	suspects  int
 	good, bad float64 // Exchanges, without the worst servers.
 	trimmed   int
-	own       tally // Exchanges of this VM alone.
+	paths     int // Servers to which only the path from this VM is suspected.
+	path      sum // Evidence of this VM against the zone.
+	stalls    float64
+	failing   int // Servers that this VM has evidence against.
 }
 
+// countZones counts the servers of each zone. The evidence on the path to a
+// zone stays.
 func (g *Group) countZones() {
-	g.zones = g.zones[:0]
+	old := g.zones
+	g.zones = make([]zoneCount, 0, len(old)+1)
 	for _, r := range g.records {
-		r.zoneIndex = g.zoneOf(r.zone)
+		r.zoneIndex = g.zoneOf(r.zone, old)
 		g.zones[r.zoneIndex].servers++
 	}
 }
 
-func (g *Group) zoneOf(name string) int {
-	for i := range g.zones {
-		if g.zones[i].name == name {
-			return i
-		}
+func (g *Group) zoneOf(name string, old []zoneCount) int {
+	byName := func(z zoneCount) bool { return z.name == name }
+	if i := slices.IndexFunc(g.zones, byName); i >= 0 {
+		return i
+	}
+	z := zoneCount{name: name}
+	if i := slices.IndexFunc(old, byName); i >= 0 {
+		z.path = old[i].path
 	}
-	g.zones = append(g.zones, zoneCount{name: name})
+	g.zones = append(g.zones, z)
 	return len(g.zones) - 1
 }
 
@@ -78,7 +93,7 @@
 
 // count sums up the evidence of all VMs about the server.
 func (r *record) count(now time.Time, window time.Duration) {
-	sum := r.sum(now, window)
+	sum := r.total(now, window)
 	t := tally{good: float64(sum.good), ownGood: float64(sum.good), own: float64(sum.bad)}
 	if r.stalled {
 		t.own++
@@ -116,7 +131,7 @@
 // affects the service.
 func (g *Group) judge(now time.Time) bool {
 	for i := range g.zones {
-		g.zones[i].suspects = 0
+		g.zones[i].suspects, g.zones[i].paths = 0, 0
 	}
 	suspects, capacity := 0, 0
 	for _, r := range g.records {
@@ -127,8 +142,12 @@
 		if !r.capacity(now) {
 			continue
 		}
+		if r.mine {
+			g.zones[r.zoneIndex].paths++
+			continue
+		}
 		capacity++
-		if r.suspect(g.policy) {
+		if r.suspect(now, g.policy) {
 			suspects++
 			g.zones[r.zoneIndex].suspects++
 		}
@@ -155,15 +174,24 @@
 	return !g.sharedAt.IsZero() && now.Sub(g.sharedAt) < sharedHold
 }
 
-func (r *record) suspect(p Policy) bool {
-	return r.score >= p.reduce || r.state == Reduced || r.state == Trial || r.state == Ejected
+// suspect reports whether evidence against the server is recent. A server that
+// only waits for its return is no sign of a shared cause.
+func (r *record) suspect(now time.Time, p Policy) bool {
+	if r.score >= p.reduce {
+		r.suspectAt = now
+	}
+	low := r.state == Reduced || r.state == Trial || r.state == Ejected
+	if low && r.failedAt.After(r.suspectAt) {
+		r.suspectAt = r.failedAt
+	}
+	return !r.suspectAt.IsZero() && now.Sub(r.suspectAt) < suspectHold
 }
 
 // zoneCause reports whether most servers of the zone are suspects while there
 // are other zones.
 func (g *Group) zoneCause(zone int) bool {
 	z := &g.zones[zone]
-	return len(g.zones) > 1 && z.servers > 1 && float64(z.suspects) >= zoneShare*float64(z.servers)
+	return len(g.zones) > 1 && z.servers > 1 && float64(z.suspects+z.paths) >= zoneShare*float64(z.servers)
 }
 
 // local reports whether other VMs exchange well with a server that this VM
@@ -186,7 +214,7 @@
 	case Trial:
 		g.stepTrial(now, r, shared)
 	case Ejected:
-		if !now.Before(r.until) && !r.probeFails {
+		if !now.Before(r.until) && (!r.probeFails || now.Sub(r.until) >= probeTrust) {
 			r.enter(now, Trial, "ejection over")
 		}
 	case Draining, Leaving:
@@ -203,12 +231,12 @@
 			r.enter(now, Leaving, "leaving by release")
 		}
 		return true
-	case c == Drains:
+	case c == ConditionDraining:
 		if r.state != Draining {
 			r.enter(now, Draining, "refuses new work")
 		}
 		return true
-	case c == Warms:
+	case c == ConditionCold:
 		if r.state != Starting {
 			r.enter(now, Starting, "cold")
 		}
@@ -222,7 +250,7 @@
 func (r *record) restart(now time.Time, reason string) {
 	r.enter(now, Starting, reason)
 	r.ramp = startWeight
-	r.own, r.level = 0, 0
+	r.own, r.level = sum{}, 0
 }
 
 func (g *Group) stepUp(now time.Time, r *record, shared bool) {
@@ -230,14 +258,17 @@
 	case shared:
 	case r.score >= g.policy.reduce:
 		r.enter(now, Reduced, "evidence of several VMs")
+		r.suspectAt = now
 		return
 	case g.pathCause(r):
 		r.enter(now, Reduced, "path to the zone")
+		r.suspectAt = now
 		r.mine = r.tally.against == 0
 		return
-	case r.decayed(now)+g.stallEvidence(r) >= g.policy.reduce:
+	case r.own.at(now)+g.stallEvidence(r) >= g.policy.reduce:
 		local := r.local()
 		r.enter(now, Reduced, "evidence of this VM")
+		r.suspectAt = now
 		if local {
 			r.enter(now, Trial, "bad from this VM only")
 		}
@@ -254,11 +285,21 @@
 
 // pathCause reports whether the exchanges of this VM with all servers of the
 // zone together are bad, and this server gave no good one. A VM that is cut off
-// from a zone sees this long before it has enough evidence on each server.
+// from a zone sees this long before it has enough evidence on each server. Once
+// the path to half of the zone is suspected, one bad exchange is enough. One
+// failing server is no reason to suspect the path.
 func (g *Group) pathCause(r *record) bool {
-	own := g.zones[r.zoneIndex].own
-	return len(g.zones) > 1 && r.tally.ownGood == 0 &&
-		own.good*g.base.good+own.bad*g.base.bad >= g.policy.reduce
+	z := &g.zones[r.zoneIndex]
+	if len(g.zones) < 2 || r.tally.ownGood > 0 {
+		return false
+	}
+	if r.tally.own > 0 && z.paths > 1 && 2*z.paths >= z.servers {
+		return true
+	}
+	if z.failing < max(2, (z.servers+2)/3) {
+		return false
+	}
+	return z.path.value+z.stalls*g.base.bad >= g.policy.reduce
 }
 
 func (g *Group) stallEvidence(r *record) float64 {
@@ -305,7 +346,11 @@
 
 // returns reports whether enough exchanges of the current state were good.
 func (r *record) returns(p Policy) bool {
-	return r.passed >= p.passes+2*r.failed && !r.stalled
+	need := p.passes
+	if r.mine {
+		need = pathPasses
+	}
+	return r.passed >= need+2*r.failed && !r.stalled
 }
 
 // stepTrial waits before an ejection for longer than a few long requests can
@@ -345,8 +390,11 @@
 		r.weight = 1
 	case Reduced:
 		r.weight = reducedWeight
+		if r.mine {
+			r.weight = pathWeight
+		}
 	case Trial:
-		r.weight = trialWeight
+		r.weight = r.trialShare()
 	case Starting:
 		part := min(1, float64(now.Sub(r.since))/float64(rampTime))
 		r.weight = r.ramp + (1-r.ramp)*part
@@ -355,6 +403,19 @@
 	}
 }
 
+// trialShare grows with good exchanges, so that a server that has recovered is
+// known soon. Where only the path from this VM is suspected, few requests come
+// by and a failure is no load on the server.
+func (r *record) trialShare() float64 {
+	if r.mine {
+		return pathWeight
+	}
+	if r.failed > 0 {
+		return trialWeight
+	}
+	return min(trialMost, trialWeight*float64(1+r.passed))
+}
+
 // keepFloor raises the least suspect servers until as many as the floor asks
 // for are usable. Servers that are draining, cold or leaving have no capacity.
 func (g *Group) keepFloor(now time.Time) {
--- a/health/policy.go
+++ b/health/policy.go
@@ -27,7 +27,7 @@
 	if d.Profile == note.ProfileFast {
 		return Policy{
 			window:  scale(time.Second, 1+bias/2),
-			reduce:  9 + 4*bias,
+			reduce:  13 + 4*bias,
 			confirm: scale(time.Second, 1+bias),
 			trial:   scale(12*time.Second, 1+bias),
 			margin:  1.5 + bias/2,
@@ -39,6 +39,7 @@
 		window:  scale(1500*time.Millisecond, 1+bias/3),
 		reduce:  13 + 4*bias,
 		confirm: scale(2*time.Second, 1+bias),
+		trial:   scale(16*time.Second, 1+bias),
 		margin:  2 + bias/2,
 		passes:  4,
 		base:    8 * time.Second,
--- a/health/record.go
+++ b/health/record.go
@@ -30,8 +30,7 @@
 
 	// Evidence of this VM.
 	buckets   [bucketCount + 1]bucket
-	own       float64 // Cumulative sum of evidence, at least 0, in nats.
-	ownAt     time.Time
+	own       sum
 	stalled   bool
 	stallFrom time.Time
 	typical   float64 // Estimated median, natural log of seconds.
@@ -42,11 +41,13 @@
 	failed   int
 	passedAt time.Time
 	failedAt time.Time
-	ownFail  bool // This VM has seen one of the failed exchanges.
-	mine     bool // Only the exchanges of this VM count: the cause is on its path.
+	failFrom time.Time // Start of the current run of failures.
+	ownFail  bool      // This VM has seen one of the failed exchanges.
+	mine     bool      // Only the exchanges of this VM count: the cause is on its path.
 
 	// What the server states about itself, and probes.
 	drainAt     time.Time
+	backAt      time.Time // A new process answers since then.
 	coldAt      time.Time
 	probeFails  bool
 	probeFailAt time.Time
@@ -55,20 +56,39 @@
 	heardAt time.Time
 
 	// Decision.
-	tally   tally
-	score   float64 // Evidence of all VMs, in nats.
-	level   float64 // Highest recent score; decays.
-	levelAt time.Time
-	state   State
-	since   time.Time
-	until   time.Time // End of an ejection.
-	flaps   float64   // Ejections, decaying while the server is healthy.
-	flapsAt time.Time
-	ramp    float64 // Weight at the start of a slow start.
-	weight  float64
-	reason  string
+	tally     tally
+	score     float64 // Evidence of all VMs, in nats.
+	level     float64 // Highest recent score; decays.
+	levelAt   time.Time
+	suspectAt time.Time // Last evidence against the server.
+	state     State
+	since     time.Time
+	until     time.Time // End of an ejection.
+	flaps     float64   // Ejections, decaying while the server is healthy.
+	flapsAt   time.Time
+	ramp      float64 // Weight at the start of a slow start.
+	weight    float64
+	reason    string
 }
 
+// sum is a cumulative sum of evidence in nats that never falls below 0, after
+// Page, Continuous Inspection Schemes, Biometrika 1954. It decays, so that old
+// evidence is forgotten where there is little traffic.
+type sum struct {
+	value   float64
+	changed time.Time
+}
+
+func (s *sum) at(now time.Time) float64 {
+	if s.value > 0 {
+		s.value *= math.Exp2(-float64(now.Sub(s.changed)) / float64(ownHalfLife))
+	}
+	s.changed = now
+	return s.value
+}
+
+func (s *sum) add(now time.Time, evidence float64) { s.value = max(0, s.at(now)+evidence) }
+
 // tally is the evidence of a window.
 type tally struct {
 	good    float64
@@ -90,8 +110,8 @@
 	return b
 }
 
-// sum returns the exchanges of the window.
-func (r *record) sum(now time.Time, window time.Duration) bucket {
+// total returns the exchanges of the window.
+func (r *record) total(now time.Time, window time.Duration) bucket {
 	slot := now.UnixNano() / (int64(window) / bucketCount)
 	var out bucket
 	for i := range r.buckets {
@@ -106,14 +126,6 @@
 	return out
 }
 
-func (r *record) decayed(now time.Time) float64 {
-	if r.own > 0 {
-		r.own *= math.Exp2(-float64(now.Sub(r.ownAt)) / float64(ownHalfLife))
-	}
-	r.ownAt = now
-	return r.own
-}
-
 // learn moves the median estimate by a fixed step towards the sample, so one
 // extreme sample moves it no more than any other.
 func (r *record) learn(took time.Duration) {
@@ -148,26 +160,41 @@
 
 func (r *record) condition(now time.Time) Condition {
 	switch {
-	case !r.drainAt.IsZero() && now.Sub(r.drainAt) < drainHold:
-		return Drains
+	case r.drainAt.After(r.backAt) && now.Sub(r.drainAt) < drainHold:
+		return ConditionDraining
 	case !r.coldAt.IsZero() && now.Sub(r.coldAt) < coldHold:
-		return Warms
+		return ConditionCold
 	default:
-		return Normal
+		return ConditionNormal
 	}
 }
 
 // capacity reports whether the server may count towards the floor.
 func (r *record) capacity(now time.Time) bool {
-	return !r.leaving && r.condition(now) == Normal
+	return !r.leaving && r.condition(now) == ConditionNormal
 }
 
 func (r *record) enter(now time.Time, s State, reason string) {
 	r.state, r.since, r.reason = s, now, reason
-	r.passedAt, r.failedAt = time.Time{}, time.Time{}
+	r.passedAt, r.failedAt, r.failFrom = time.Time{}, time.Time{}, time.Time{}
 	r.passed, r.failed, r.ownFail, r.mine = 0, 0, false, false
 }
 
+// fail counts failures that began in the current state. A gap starts a new run:
+// natural failures of different times do not add up to an ejection.
+func (r *record) fail(at time.Time, n int) {
+	if at.Sub(r.failedAt) > failureGap {
+		r.failed, r.ownFail, r.failFrom = 0, false, at
+	}
+	r.failed += n
+	if at.After(r.failedAt) {
+		r.failedAt = at
+	}
+	if at.Before(r.failFrom) {
+		r.failFrom = at
+	}
+}
+
 // recount starts the count of exchanges anew, so that a long state ends on
 // recent ones.
 func (r *record) recount(now time.Time) {
