--- a/idem/guard.go
+++ b/idem/guard.go
@@ -102,8 +102,11 @@
 
 // resolve returns the owner of the call's key.
 func (g *Guard) resolve(ctx context.Context, call *Call) (Owner, item, error) {
-	if call.Key == "" {
+	switch {
+	case call.Key == "":
 		return Owner{}, item{}, fault.New(fault.KeyMissing, "no Idempotency-Key")
+	case g.ledger == nil:
+		return Owner{}, item{}, fault.New(fault.ClaimFailed, "the guard was not made by NewGuard")
 	}
 	issued, ok, err := g.keys.Parse(call.Key)
 	if err != nil {
--- a/idem/guard_test.go
+++ b/idem/guard_test.go
@@ -222,6 +222,8 @@
 			t.Errorf("got %q, want %s", got.GetText(), want)
 		}
 	}
+	_, err := (&Guard{}).Do(t.Context(), Call{Key: "k"}, nil)
+	wantKind(t, "guard without a ledger", err, fault.ClaimFailed)
 	kind := fault.Of(Unsure(fault.New(fault.AccountLimited, "x")))
 	if kind.Answer().Ran() != fault.Unknown || fault.Of(Unsure(errDown)) != fault.PlatformDown {
 		t.Errorf("a refusal before the key was looked up became %v", kind)
