--- a/note/chunk.go
+++ b/note/chunk.go
@@ -228,12 +228,6 @@
 	return c, nil
 }
 
-// Verify reports, as a fault of kind Invalid, whether data lacks the digest.
-func Verify(data []byte, want Digest) error {
-	_, err := verify(data, want)
-	return err
-}
-
 // Manifest lists the chunks of a release.
 type Manifest struct {
 	chunk    Chunk
