idem: a forwarded request expires on its way; entry: a publisher's VM has its release at once

Cause: Forward carried only the time left, so a message that a partition held back could start a run after a repeat of the request was told 'not run'. It now carries the wall-clock time after which it must not start. The guarantee holds as far as the clocks of the VMs agree. Ruled out: remembering refused keys, as a caller may use such a key again.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -180,6 +180,7 @@
 		return reply.GetHead(), reply.GetChunks(), err
 	}
 	f.Rand = rand.Float64
+	f.Register(part[*metrics.Set](v))
 	return f, nil
 }
 
@@ -196,7 +197,11 @@
 func (v *VM) newPublisher(do.Injector) (*deploy.Publisher, error) {
 	p := deploy.NewPublisher(part[*store.Client](v))
 	p.Current = part[*deploy.Follower](v).Release
+	// The VM that publishes has the release at once; its peers learn of it by
+	// heartbeat, whichever of them hold a watch.
+	p.Committed = part[*deploy.Follower](v).Adopt
 	p.Rand = rand.Float64
+	p.Register(part[*metrics.Set](v))
 	return p, nil
 }
 
--- a/entry/gauges.go
+++ b/entry/gauges.go
@@ -4,7 +4,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/azuredeal/azuredeal/board"
-	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/idem"
 )
 
@@ -16,9 +15,6 @@
 	set.NewGauge("azuredeal_ledger_keys", func() float64 { return float64(part[*idem.Ledger](v).Len()) })
 	set.NewGauge("azuredeal_samples_dropped_total", func() float64 { return float64(part[*board.Board](v).Dropped()) })
 	set.NewGauge("azuredeal_control_steps_total", func() float64 { return float64(part[*board.Board](v).Steps()) })
-	set.NewGauge("azuredeal_release_failures_total", func() float64 {
-		return float64(part[*deploy.Follower](v).Dump().Failed)
-	})
 	set.NewGauge("azuredeal_leaving", func() float64 {
 		if v.callers.leaving.Load() {
 			return 1
--- a/idem/guard.go
+++ b/idem/guard.go
@@ -57,6 +57,12 @@
 	if f.GetOwner() != g.self().incarnation {
 		return refusal(fault.New(fault.OwnerLost, "incarnation %d has ended", f.GetOwner()))
 	}
+	expiry := time.UnixMilli(f.GetExpiry())
+	if !time.Now().Before(expiry) {
+		return refusal(fault.New(fault.OwnerLost, "the request expired on its way"))
+	}
+	ctx, stop := context.WithDeadline(ctx, expiry)
+	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(f.GetDeadline())*time.Millisecond)
 	defer cancel()
 	call := CallOf(f)
@@ -149,7 +155,9 @@
 }
 
 func message(ctx context.Context, owner Owner, call *Call) *wire.Forward {
+	left := timeLeft(ctx)
 	return &wire.Forward{
+		Expiry:   time.Now().Add(left).UnixMilli(),
 		Owner:    owner.incarnation,
 		Key:      call.Key,
 		Method:   call.Method,
@@ -157,7 +165,7 @@
 		Target:   call.Target,
 		Headers:  toWire(call.Header),
 		Body:     call.Body,
-		Deadline: uint32(timeLeft(ctx).Milliseconds()),
+		Deadline: uint32(left.Milliseconds()),
 		Account:  call.Account,
 		Id:       call.ID,
 	}
--- a/idem/guard_test.go
+++ b/idem/guard_test.go
@@ -218,6 +218,7 @@
 		"DeadlineShort":             {Owner: 1, Key: owner.keys.Issue(time.Now())},
 		"AnswerDropped":             {Owner: 1, Key: owner.keys.Issue(time.Now()), Deadline: 1000},
 	} {
+		m.Expiry = time.Now().Add(time.Minute).UnixMilli()
 		if got := owner.Serve(t.Context(), m, gives(string(large))); !strings.HasPrefix(got.GetText(), want) {
 			t.Errorf("got %q, want %s", got.GetText(), want)
 		}
