member: keep a VM that the seeds refuse from being left without addresses

Hello now counts as hearing the peer, a VM without links avoids nobody, and it tries every address it knows. TestFleetStartsAtOnce with 250 VMs fails without these changes.

Links from before a long pause are dropped when the process resumes: what waits on them is as old as the pause, and TestLongPartitionAndForgottenMembers showed a record from there in other views when the record of forgotten versions was disabled too.

--- a/member/dial.go
+++ b/member/dial.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -100,7 +101,7 @@
 }
 
 // dialUnknown tries seeds and hints that belong to no member that runs, one at a
-// time, and without a pause while this VM has no link.
+// time. While this VM has no link it tries all addresses, without a pause.
 func (v *View) dialUnknown(now time.Time, try func(string) bool) {
 	alone := len(v.links) == 0
 	if !alone && now.Before(v.explore) {
@@ -108,6 +109,11 @@
 	}
 	known := v.knownAddrs()
 	addrs := slices.Clone(v.seeds)
+	if alone {
+		addrs = slices.AppendSeq(addrs, maps.Keys(known))
+		slices.Sort(addrs)
+		clear(known)
+	}
 	for _, h := range v.hints {
 		if r := v.members[h.id]; r == nil || r.state == Gone {
 			addrs = append(addrs, h.addr)
--- a/member/link.go
+++ b/member/link.go
@@ -42,6 +42,7 @@
 	heardAt     time.Time // When that was; the start of the link before the first.
 	deaf        bool      // Others hear the peer and this VM does not.
 	mute        bool      // The peer says that it does not hear this VM.
+	stale       bool      // This process was paused for so long that the peer gave up.
 	due         time.Time // When the next heartbeat is due.
 	unwanted    time.Time // Since when the peer is not chosen; zero when it is.
 	pending     []*item   // Records to send or to be confirmed, in order.
@@ -102,7 +103,10 @@
 	}
 }
 
-func (l *link) resumed(now time.Time) {
+// resumed starts the silence of the link afresh after a pause of this process.
+// After a long one the peer has given the link up, and what waits on it is old.
+func (l *link) resumed(now time.Time, pause time.Duration) {
+	l.stale = l.stale || pause >= closeAfter
 	l.heardAt = now
 	l.deaf, l.mute = false, false
 }
@@ -132,6 +136,9 @@
 	}
 	v.links = append(v.links, l)
 	v.merge(now, l, m)
+	if r := v.members[m.id]; r != nil && r.incarnation == m.incarnation {
+		r.heard = now // Hello went both ways.
+	}
 	// Links between VMs that already know each other start without a full sync:
 	// changes reach both by other links, and slices repair the rest.
 	l.syncing = fresh || now.Sub(v.started) < syncFor
@@ -229,7 +236,7 @@
 			l.unwanted = now
 		}
 		switch {
-		case now.Sub(l.heardAt) >= closeAfter,
+		case l.stale, now.Sub(l.heardAt) >= closeAfter,
 			l.dialed != "" && !l.unwanted.IsZero() && now.Sub(l.unwanted) >= lingerFor,
 			v.isSpare(l, v.links[i+1:]):
 			out = append(out, l.id)
--- a/member/view.go
+++ b/member/view.go
@@ -221,7 +221,7 @@
 		r.accused = time.Time{}
 	}
 	for _, l := range v.links {
-		l.resumed(now)
+		l.resumed(now, gap)
 	}
 	if gap >= forgetAfter {
 		v.forgetAll(now)
@@ -356,7 +356,7 @@
 func (v *View) Apply(now time.Time, id LinkID, h *wire.Heartbeat) {
 	v.advance(now)
 	l := v.link(id)
-	if l == nil || h.GetIncarnation() != l.incarnation {
+	if l == nil || l.stale || h.GetIncarnation() != l.incarnation {
 		return
 	}
 	v.heardOn(now, l, h)
--- a/member/watch.go
+++ b/member/watch.go
@@ -52,9 +52,9 @@
 }
 
 // isUnreachable reports whether no link to a chosen peer comes about although
-// the fleet hears it.
+// the fleet hears it. A VM without links does not hear the fleet.
 func (v *View) isUnreachable(now time.Time, r *record) bool {
-	return r.chosen && now.Sub(r.watched) >= suspectAfter && r.provedAfter(r.watched) && v.linkTo(r) == nil
+	return len(v.links) > 0 && r.chosen && now.Sub(r.watched) >= suspectAfter && r.provedAfter(r.watched) && v.linkTo(r) == nil
 }
 
 // provedAfter reports whether the member showed to others that it runs, a while
