--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -350,7 +350,7 @@
 // first VMs hold all links of the seeds, and against VMs that the seeds refuse
 // and that then have no address left to try.
 func TestFleetStartsAtOnce(t *testing.T) {
-	for n, limit := range map[int]time.Duration{180: goneAfter, 250: 15 * time.Second} {
+	for n, limit := range map[int]time.Duration{180: goneAfter, 400: 15 * time.Second} {
 		s := newSim(6)
 		for i := range n {
 			s.add(i, "10.0.0.0:7400", "10.0.0.1:7400", "10.0.0.2:7400")
