--- a/health/decide.go
+++ b/health/decide.go
@@ -78,9 +78,9 @@
 		r.count(now, g.policy.window)
 	}
 	g.base.weigh(g.rate())
-	g.shared = g.judge(now)
+	shared := g.judge(now)
 	for _, r := range g.records {
-		g.step(now, r, g.shared)
+		g.step(now, r, shared)
 		r.setWeight(now)
 	}
 	g.keepFloor(now)
--- a/health/health.go
+++ b/health/health.go
@@ -87,7 +87,6 @@
 	base      baseline
 	zones     []zoneCount
 	sharedAt  time.Time // Last time with a shared cause.
-	shared    bool      // A shared cause holds.
 	decisions []Decision
 	order     []int // Scratch for the floor and the baseline.
 }
@@ -135,20 +134,10 @@
 	g.countZones()
 }
 
-// Slow returns the time above which an exchange is slow for the service. It is
-// 0 until enough is known.
+// Slow returns the time above which an exchange is slow for the service; the
+// request path can hedge from there on. It is 0 until enough is known.
 func (g *Group) Slow() time.Duration { return g.base.slow(g.policy.margin) }
 
-// Hedge returns the time after which the request path may hedge a request; 0
-// means not to hedge. While a shared cause slows all servers, hedges would only
-// add load.
-func (g *Group) Hedge() time.Duration {
-	if g.shared {
-		return 0
-	}
-	return g.Slow()
-}
-
 func (g *Group) record(addr string) *record {
 	if i, ok := g.index[addr]; ok {
 		return g.records[i]
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -87,7 +87,7 @@
 	c.probe = func(now time.Time, server int, ok bool) {
 		g.Probe(now, svc.servers[server].addr, ok, probeTime)
 	}
-	c.merge, c.reports, c.hedge = g.Merge, g.Reports, g.Hedge
+	c.merge, c.reports, c.hedge = g.Merge, g.Reports, g.Slow
 }
 
 const (
