--- a/health/decide.go
+++ b/health/decide.go
@@ -93,6 +93,7 @@
 
 // count sums up the evidence of all VMs about the server.
 func (r *record) count(now time.Time, window time.Duration) {
+	r.stated = r.condition(now)
 	sum := r.total(now, window)
 	t := tally{good: float64(sum.good), ownGood: float64(sum.good), own: float64(sum.bad)}
 	if r.stalled {
@@ -137,9 +138,11 @@
 	for _, r := range g.records {
 		pooled := r.tally.good*g.base.good + r.tally.bad*g.base.bad
 		r.score = max(0, pooled)
-		r.level = max(r.score, r.level*math.Exp2(-float64(now.Sub(r.levelAt))/float64(levelHalfLife)))
-		r.levelAt = now
-		if !r.capacity(now) {
+		if r.level > 0 {
+			r.level *= math.Exp2(-float64(now.Sub(r.levelAt)) / float64(levelHalfLife))
+		}
+		r.level, r.levelAt = max(r.score, r.level), now
+		if !r.capacity() {
 			continue
 		}
 		if r.mine {
@@ -203,7 +206,7 @@
 
 // step moves the state machine of one server.
 func (g *Group) step(now time.Time, r *record, shared bool) {
-	if r.stated(now) {
+	if r.settled(now) {
 		return
 	}
 	switch r.state {
@@ -222,21 +225,21 @@
 	}
 }
 
-// stated handles what the server or the release says about the server itself.
+// settled handles what the server or the release says about the server itself.
 // It reports whether that settles the decision.
-func (r *record) stated(now time.Time) bool {
-	switch c := r.condition(now); {
+func (r *record) settled(now time.Time) bool {
+	switch {
 	case r.leaving:
 		if r.state != Leaving {
 			r.enter(now, Leaving, "leaving by release")
 		}
 		return true
-	case c == ConditionDraining:
+	case r.stated == ConditionDraining:
 		if r.state != Draining {
 			r.enter(now, Draining, "refuses new work")
 		}
 		return true
-	case c == ConditionCold:
+	case r.stated == ConditionCold:
 		if r.state != Starting {
 			r.enter(now, Starting, "cold")
 		}
@@ -422,7 +425,7 @@
 	usable := 0
 	g.order = g.order[:0]
 	for i, r := range g.records {
-		if !r.capacity(now) {
+		if !r.capacity() {
 			continue
 		}
 		if r.weight >= usableWeight {
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -139,13 +139,8 @@
 	t.Parallel()
 	f := warmFleet(6, 8, 4, 4, note.ProfileFast)
 	f.links = func(from, to int) bool { return from-to == 1 || to-from == 1 }
-	f.behave = func(vm, server int, _ time.Duration) (board.Outcome, time.Duration) {
-		if vm == 0 && server == 2 {
-			return board.Draining, time.Millisecond
-		}
-		return board.Success, normal
-	}
-	f.run(4 * time.Second)
+	f.groups[0].Observe(f.now, board.Sample{Server: f.servers[2].Addr(), Start: f.now, Outcome: board.Draining})
+	f.run(3 * time.Second)
 	for vm, states := range f.states {
 		if d := states[2]; d.State() != Draining || d.Weight() != 0 {
 			t.Errorf("VM %d: %v, weight %v", vm, d.State(), d.Weight())
--- a/health/record.go
+++ b/health/record.go
@@ -47,6 +47,7 @@
 
 	// What the server states about itself, and probes.
 	drainAt     time.Time
+	stated      Condition // As of the last decision.
 	backAt      time.Time // A new process answers since then.
 	coldAt      time.Time
 	probeFails  bool
@@ -170,9 +171,7 @@
 }
 
 // capacity reports whether the server may count towards the floor.
-func (r *record) capacity(now time.Time) bool {
-	return !r.leaving && r.condition(now) == ConditionNormal
-}
+func (r *record) capacity() bool { return !r.leaving && r.stated == ConditionNormal }
 
 func (r *record) enter(now time.Time, s State, reason string) {
 	r.state, r.since, r.reason = s, now, reason
--- /dev/null
+++ b/replay/example_test.go
@@ -0,0 +1,24 @@
+package replay_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/azuredeal/azuredeal/replay"
+)
+
+func ExampleRun() {
+	traces, err := replay.Committed()
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	sum, err := replay.Run(context.Background(), replay.Options{Traces: traces[:1], Short: true})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(len(sum.Results()), "policies,", len(sum.Misses()), "outcomes missed")
+	// Output:
+	// 4 policies, 0 outcomes missed
+}
