health: ejections grow while a server stays unhealthy; few requests suffice to return

Cause: the count of ejections also decayed during ejections, so the time of a server that never recovers settled at a minute; and a long state forgot its good exchanges, so a server of a service with few requests did not return. Change: the count decays only while the server is healthy; counts start anew only when there are old failures.

--- a/health/decide.go
+++ b/health/decide.go
@@ -280,6 +280,7 @@
 	}
 	if r.state == Starting && now.Sub(r.since) >= rampTime {
 		r.enter(now, Healthy, "")
+		r.flapsAt = now
 	}
 	if r.state == Healthy {
 		r.calm(now)
@@ -329,7 +330,7 @@
 		r.enter(now, Trial, "fails with a reduced share")
 	case r.returns(g.policy):
 		r.restart(now, "evidence has passed")
-	case now.Sub(r.since) >= g.policy.trial:
+	case r.failuresAreOld(now):
 		r.recount(now)
 	}
 }
@@ -373,17 +374,17 @@
 	case now.Sub(r.since) < wait:
 	case g.failing(r, retrialFailures) && r.failedAt.After(r.passedAt) && now.Sub(r.failedAt) < failureAge:
 		g.eject(now, r)
-	case now.Sub(r.since) >= 2*g.policy.trial:
+	case r.failuresAreOld(now):
 		r.recount(now)
 	}
 }
 
 // eject starts an ejection that doubles with each recent one.
 func (g *Group) eject(now time.Time, r *record) {
-	r.calm(now)
 	span := float64(g.policy.base) * math.Exp2(r.flaps)
 	r.until = now.Add(time.Duration(min(span, float64(ejectionMost))))
 	r.flaps++
+	r.flapsAt = now
 	r.enter(now, Ejected, "evidence holds")
 }
 
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -237,9 +237,10 @@
 	}
 	for range 20 {
 		g.eject(now, r)
+		now = r.until
 	}
-	if span := r.until.Sub(now); span > ejectionMost {
-		t.Errorf("ejection of %v", span)
+	if span := r.until.Sub(r.since); span != ejectionMost {
+		t.Errorf("a server that never recovers is ejected for %v", span)
 	}
 	r.flaps = 4
 	r.enter(now, Healthy, "")
@@ -313,3 +314,25 @@
 		t.Error("an unknown profile is not read as steady")
 	}
 }
+
+// Guards against a server of a service with few requests that never returns
+// because its good exchanges are forgotten.
+func TestReturnWithFewRequests(t *testing.T) {
+	t.Parallel()
+	g := New("layout", NewPolicy(note.Detection{Profile: note.ProfileFast}))
+	now := time.Unix(0, 0)
+	g.Set(now, []Server{NewServer("a:1", "z", false), NewServer("b:1", "z", false)}, 1)
+	g.records[0].enter(now, Trial, "test")
+	now = now.Add(time.Second)
+	g.Observe(now, board.Sample{Server: "a:1", Start: now, Outcome: board.Failure})
+	for range 4 {
+		for range 300 {
+			now = now.Add(testTick)
+			g.Decide(now)
+		}
+		g.Observe(now, board.Sample{Server: "a:1", Start: now, Took: normal, Outcome: board.Success})
+	}
+	if d := g.Decide(now)[0]; d.State() != Healthy {
+		t.Errorf("after four good exchanges in two minutes: %v", d.State())
+	}
+}
--- a/health/record.go
+++ b/health/record.go
@@ -194,6 +194,13 @@
 	}
 }
 
+// failuresAreOld reports whether failures of the current state are too old to
+// stand against a return. Good exchanges are kept without them, so that a
+// server of a service with few requests returns as well.
+func (r *record) failuresAreOld(now time.Time) bool {
+	return r.failed > 0 && now.Sub(r.failedAt) >= failureGap
+}
+
 // recount starts the count of exchanges anew, so that a long state ends on
 // recent ones.
 func (r *record) recount(now time.Time) {
