pool: allocate nothing to wait; take over buffers of evicted connections

A list element and a boxed time were allocated for each wait of an exchange, and 8 KB of buffers for each fresh connection, although at the bound of connections an idle one is closed for it. That one was closed under the lock of the pool; it is closed outside now.

--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"container/list"
 	"context"
 	"errors"
 	"io"
@@ -52,7 +51,7 @@
 	start   time.Time
 	paused  time.Time     // Since when nobody reads the response.
 	outside time.Duration // Time in which nobody read the response.
-	waiting *list.Element
+	waiter  waiter // In the list of the pool while the exchange waits.
 	reuse   bool
 	ended   bool
 }
@@ -63,7 +62,7 @@
 // connection is closed.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	x := &exchange{pool: p, ctx: ctx, req: r, start: time.Now()}
-	x.waiting = p.wait(x.start, true)
+	p.wait(&x.waiter, x.start, true)
 	var err error
 	x.link, err = p.acquire(ctx, r.Fresh)
 	if err != nil {
@@ -303,15 +302,14 @@
 
 // pause notes that nobody waits for the backend server.
 func (x *exchange) pause() {
-	x.pool.unwait(x.waiting, false)
-	x.waiting = nil
+	x.pool.unwait(&x.waiter, false)
 	x.paused = time.Now()
 }
 
 func (x *exchange) resume() {
 	now := time.Now()
 	x.outside += now.Sub(x.paused)
-	x.waiting = x.pool.wait(now, false)
+	x.pool.wait(&x.waiter, now, false)
 }
 
 // end closes or keeps the connection and reports the outcome.
@@ -334,8 +332,7 @@
 // quit ends an exchange without a sample: it says nothing about the server.
 func (x *exchange) quit() {
 	x.ended = true
-	x.pool.unwait(x.waiting, true)
-	x.waiting = nil
+	x.pool.unwait(&x.waiter, true)
 	if x.link == nil {
 		return
 	}
--- a/pool/link.go
+++ b/pool/link.go
@@ -31,8 +31,17 @@
 	failed atomic.Bool // A write failed.
 }
 
-func newLink(conn net.Conn) *link {
+// newLink returns a link that takes over the buffers of another one, which may be
+// nil. That one must have been idle: its last exchange has ended, so nothing reads
+// or writes its buffers any more.
+func newLink(conn net.Conn, idle *link) *link {
 	l := &link{conn: conn}
+	if idle != nil {
+		l.reader, l.writer = idle.reader, idle.writer
+		l.reader.Reset(readSide{l})
+		l.writer.Reset(l)
+		return l
+	}
 	l.reader = bufio.NewReaderSize(readSide{l}, readBuffer)
 	l.writer = bufio.NewWriterSize(l, writeBuffer)
 	return l
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,9 +5,9 @@
 package pool
 
 import (
-	"container/list"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,7 +45,7 @@
 	idle    []*link // Longest unused first.
 	open    int     // Connections, with those being opened.
 	count   int     // Exchanges in flight.
-	waiting *list.List
+	waiting waitList
 	sweeper *time.Timer
 	closed  bool
 }
@@ -70,7 +70,7 @@
 	if opts.Sample == nil {
 		opts.Sample = func(board.Sample) {}
 	}
-	return &Pool{addr: addr, opts: opts, waiting: list.New()}
+	return &Pool{addr: addr, opts: opts}
 }
 
 // Addr returns the address of the backend server.
@@ -84,8 +84,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f := board.Flight{Service: p.opts.Service, Server: p.addr, Count: p.count}
-	if first := p.waiting.Front(); first != nil {
-		f.Oldest = first.Value.(time.Time)
+	if first := p.waiting.first; first != nil {
+		f.Oldest = first.since
 	}
 	return f
 }
@@ -124,9 +124,13 @@
 		}
 		p.drop(l)
 	}
-	if !p.reserve() {
+	evicted, ok := p.reserve()
+	if !ok {
 		return nil, fault.New(fault.NoServer, "all %d connections to %s are in use", p.opts.Conns, p.addr)
 	}
+	if evicted != nil {
+		evicted.close()
+	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.Connect)
 	defer cancel()
 	conn, err := p.opts.Dial(ctx, "tcp", p.addr)
@@ -134,7 +138,7 @@
 		p.release()
 		return nil, fault.Wrap(fault.Unreachable, err, "connect")
 	}
-	return newLink(conn), nil
+	return newLink(conn, evicted), nil
 }
 
 // take removes the connection that was used last from the idle ones.
@@ -152,20 +156,20 @@
 }
 
 // reserve makes room for one more connection, at the cost of an idle one when
-// the bound is reached.
-func (p *Pool) reserve() bool {
+// the bound is reached. That one is returned, for its owner to close.
+func (p *Pool) reserve() (evicted *link, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open < p.opts.Conns {
 		p.open++
-		return true
+		return nil, true
 	}
 	if len(p.idle) == 0 {
-		return false
+		return nil, false
 	}
-	p.idle[0].close()
-	p.idle = append(p.idle[:0], p.idle[1:]...)
-	return true
+	evicted = p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return evicted, true
 }
 
 func (p *Pool) release() {
@@ -214,23 +218,60 @@
 }
 
 // wait notes that an exchange waits for the backend server from now on.
-func (p *Pool) wait(now time.Time, begin bool) *list.Element {
+func (p *Pool) wait(w *waiter, now time.Time, begin bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if begin {
 		p.count++
 	}
-	return p.waiting.PushBack(now)
+	p.waiting.push(w, now)
 }
 
 // unwait notes that an exchange no longer waits.
-func (p *Pool) unwait(e *list.Element, end bool) {
+func (p *Pool) unwait(w *waiter, end bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if end {
 		p.count--
 	}
-	if e != nil {
-		p.waiting.Remove(e)
+	p.waiting.remove(w)
+}
+
+// waiter is the place of an exchange in the list of those that wait. It is part
+// of the exchange, so that waiting allocates nothing.
+type waiter struct {
+	since      time.Time
+	prev, next *waiter
+	listed     bool
+}
+
+// waitList lists waiters, the one that has waited longest first.
+type waitList struct{ first, last *waiter }
+
+func (l *waitList) push(w *waiter, now time.Time) {
+	w.since, w.prev, w.next, w.listed = now, l.last, nil, true
+	if l.last == nil {
+		l.first = w
+	} else {
+		l.last.next = w
+	}
+	l.last = w
+}
+
+// remove takes w out of the list; a waiter that is not listed is left alone.
+func (l *waitList) remove(w *waiter) {
+	if !w.listed {
+		return
+	}
+	if w.prev == nil {
+		l.first = w.next
+	} else {
+		w.prev.next = w.next
+	}
+	if w.next == nil {
+		l.last = w.prev
+	} else {
+		w.next.prev = w.prev
 	}
+	w.prev, w.next, w.listed = nil, nil, false
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -404,3 +404,19 @@
 	open, _ := b.Conns()
 	failIf(t, fault.Of(err) != fault.ServerRefused || open != 0, "error %v, %d open", err, open)
 }
+
+// Guards against bytes that one connection leaves to the next with its buffers:
+// at the bound, each fresh connection takes over those of an idle one.
+func TestFreshConnectionTakesOverBuffersEmpty(t *testing.T) {
+	b := newBench(t, Options{Conns: 1}, func(c net.Conn, in *bufio.Reader) {
+		reply(whole)(c, in)
+	})
+	for i := range 3 {
+		r := get(fmt.Sprintf("id-%d", i))
+		r.Fresh = true
+		body, err := b.exchangeAll(t.Context(), r)
+		failIf(t, err != nil || body != "hello", "exchange %d: %q, %v", i, body, err)
+		open, idle := b.Conns()
+		failIf(t, open != 1 || idle != 1 || b.dials != i+1, "%d open, %d idle, %d dials", open, idle, b.dials)
+	}
+}
