proxy, pool, limit: fewer allocations for each request

Each attempt copied all header values, calls without hedges made a timer, each admission made a channel and a closure with sync.Once, and ids were built from two strings. Header values are never changed in place, so attempts share them; a channel is made only for a request that waits.

--- a/limit/queue.go
+++ b/limit/queue.go
@@ -32,9 +32,10 @@
 // under the lock of the queue before done is closed.
 type waiter struct {
 	ask     Ask
-	seq     uint64 // Order of arrival.
-	done    chan struct{}
+	seq     uint64        // Order of arrival.
+	done    chan struct{} // Nil when the waiter was admitted at once.
 	settled bool
+	left    bool  // The room was given back.
 	err     error // Nil when the waiter was admitted.
 	probe   bool  // The estimate would refuse it.
 }
@@ -42,7 +43,9 @@
 func (w *waiter) settle(err error) {
 	w.settled = true
 	w.err = err
-	close(w.done)
+	if w.done != nil {
+		close(w.done)
+	}
 }
 
 // NewQueue returns a queue that lets room requests run at once and depth wait.
@@ -105,7 +108,7 @@
 func (q *Queue) join(ask Ask) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	w := &waiter{ask: ask, done: make(chan struct{})}
+	w := &waiter{ask: ask}
 	isFree := q.hasRoom(ask.Class) && q.lines.empty(ask.Class)
 	if late := q.isLate(time.Now(), ask, isFree); late {
 		w.probe = isFree && q.mayProbe(ask)
@@ -124,6 +127,7 @@
 		}
 		out.settle(fault.New(fault.QueueFull, "displaced by another request"))
 	}
+	w.done = make(chan struct{})
 	q.lines.push(w)
 	return w, nil
 }
@@ -131,6 +135,9 @@
 // wait returns when the waiter was admitted or refused, or can no longer end in
 // time, or ctx has ended.
 func (q *Queue) wait(ctx context.Context, w *waiter) error {
+	if w.done == nil {
+		return nil
+	}
 	select {
 	case <-w.done:
 		return w.err
@@ -180,14 +187,15 @@
 
 // leaver returns the function that gives room back.
 func (q *Queue) leaver(w *waiter, start time.Time) func() {
-	var once sync.Once
 	return func() {
-		once.Do(func() {
-			q.mu.Lock()
-			defer q.mu.Unlock()
-			q.times[w.ask.Class].add(time.Since(start))
-			q.release(w)
-		})
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if w.left {
+			return
+		}
+		w.left = true
+		q.times[w.ask.Class].add(time.Since(start))
+		q.release(w)
 	}
 }
 
--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -24,7 +24,7 @@
 	Method string
 	Host   string
 	Target string      // Path and query.
-	Header http.Header // Do changes it.
+	Header http.Header // Do changes the map, but not its values.
 	Body   []byte
 	ID     string // Request id of this exchange; the response must carry it.
 	Echo   string // note.EchoRequired or note.EchoChecked.
@@ -45,13 +45,14 @@
 	pool    *Pool
 	ctx     context.Context
 	req     *Request
+	msg     *http.Request // What is written for req.
 	link    *link
 	wrote   chan struct{} // Closed when a long body is written; nil when written inline.
 	stop    func() bool
 	start   time.Time
 	paused  time.Time     // Since when nobody reads the response.
 	outside time.Duration // Time in which nobody read the response.
-	waiter  waiter // In the list of the pool while the exchange waits.
+	waiter  waiter        // In the list of the pool while the exchange waits.
 	reuse   bool
 	ended   bool
 }
@@ -97,6 +98,7 @@
 		x.quit()
 		return err
 	}
+	x.msg = msg
 	x.link.sent.Store(0)
 	if x.req.Send != nil && !x.req.Send() {
 		x.reuse = true
@@ -124,6 +126,9 @@
 	return x.unsent(err)
 }
 
+// noAgent keeps the library from adding a User-Agent of its own.
+var noAgent = []string{""}
+
 func (x *exchange) message() (*http.Request, error) {
 	target, err := url.ParseRequestURI(x.req.Target)
 	if err != nil {
@@ -134,9 +139,9 @@
 		header = http.Header{}
 	}
 	removeHopByHop(header)
-	header.Set(fault.HeaderID, x.req.ID)
+	header[fault.HeaderID] = []string{x.req.ID}
 	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = []string{""} // Otherwise the library adds its own.
+		header["User-Agent"] = noAgent
 	}
 	msg := &http.Request{
 		Method: x.req.Method, URL: target, Host: x.req.Host, Header: header,
@@ -190,9 +195,8 @@
 
 // head reads response heads until a final one.
 func (x *exchange) head() (*http.Response, error) {
-	msg := &http.Request{Method: x.req.Method}
 	for range interimMost {
-		head, err := http.ReadResponse(x.link.reader, msg)
+		head, err := http.ReadResponse(x.link.reader, x.msg)
 		if err != nil {
 			return nil, err
 		}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -34,6 +35,7 @@
 		call: c, ctx: ctx, whole: whole, stem: c.handler.newID(),
 		results: make(chan result, attemptsMost),
 	}
+	d.tried, d.begun = d.room.tried[:0], d.room.begun[:0]
 	if c.repeatable && c.service.note.Limits.Hedge {
 		d.recent = c.service.recent.of(c.route.name)
 	}
@@ -94,6 +96,11 @@
 	recent  *window // Nil when the call is not hedged.
 	spare   *reply  // A whole response that reports a failure of the server.
 	doubt   error   // Of an attempt that may have run.
+	// room is the memory of tried and begun until there are retries.
+	room struct {
+		tried [1]*pick.Target
+		begun [1]begun
+	}
 }
 
 // run returns the first good reply, or an error that is accurate about whether
@@ -104,8 +111,13 @@
 	if !d.launch(false) {
 		return nil, d.settle(fault.New(fault.NoServer, "service %s", d.call.service.note.Name))
 	}
-	hedge := d.hedgeTimer()
-	defer hedge.Stop()
+	var late <-chan time.Time // Says when to send a hedge.
+	var hedge *time.Timer
+	if d.recent != nil {
+		hedge = time.NewTimer(d.recent.delay(time.Until(d.call.deadline)))
+		defer hedge.Stop()
+		late = hedge.C
+	}
 	for {
 		select {
 		case r := <-d.results:
@@ -117,7 +129,7 @@
 				}
 				return p, err
 			}
-		case <-hedge.C:
+		case <-late:
 			d.hedge(hedge)
 		case <-d.ctx.Done():
 			if p := d.takeSpare(); p != nil {
@@ -283,7 +295,7 @@
 	sent := false
 	req := &pool.Request{
 		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
-		Header: c.header.Clone(), ID: id, Echo: c.service.note.Echo,
+		Header: maps.Clone(c.header), ID: id, Echo: c.service.note.Echo,
 		// A retry must not meet another connection that the same event has closed.
 		Fresh: !c.repeatable || p.index > 0,
 		Ended: func(s board.Sample) { p.took, p.outcome = s.Took, s.Outcome },
@@ -293,7 +305,7 @@
 		},
 	}
 	left := max(0, time.Until(c.deadline))
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	req.Header[HeaderDeadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	start := time.Now()
 	resp, err := p.server.pool.Do(ctx, req)
 	if err == nil {
@@ -372,17 +384,6 @@
 	}(d.pending)
 }
 
-// hedgeTimer returns a timer that says when to send a hedge; it never fires for a
-// call that is not hedged.
-func (d *dispatch) hedgeTimer() *time.Timer {
-	if d.recent == nil {
-		timer := time.NewTimer(0)
-		timer.Stop()
-		return timer
-	}
-	return time.NewTimer(d.recent.delay(time.Until(d.call.deadline)))
-}
-
 // hedge sends one hedge. When the budget is spent it tries again later: an attempt
 // at a stalled server would otherwise wait for its deadline, although the budget
 // has grown again long before.
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -168,12 +168,16 @@
 	return nil
 }
 
-const ownPrefix = "Azuredeal-"
+const (
+	ownPrefix = "Azuredeal-"
+	ownFields = 3 // Request id, deadline and User-Agent, which an attempt adds.
+)
 
 // forwardable returns a copy of the header without what is meant for the
-// fleet, such as the token of the account.
+// fleet, such as the token of the account. The values are shared with in and
+// among the attempts, so they must not be changed in place.
 func forwardable(in http.Header) http.Header {
-	out := make(http.Header, len(in))
+	out := make(http.Header, len(in)+ownFields)
 	for name, values := range in {
 		if !strings.HasPrefix(name, ownPrefix) && name != fault.HeaderID {
 			out[name] = slices.Clip(values)
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -129,7 +129,9 @@
 }
 
 func (h *Handler) newID() string {
-	return h.stem + strconv.FormatUint(h.seq.Add(1), 36)
+	const base = 36
+	var b [2*stemBytes + 1 + 13]byte // 13 digits are the most that 64 bits take.
+	return string(strconv.AppendUint(append(b[:0], h.stem...), h.seq.Add(1), base))
 }
 
 // SetRelease puts a release into effect. Connections, queues and budgets of
