--- a/deploy/fleet_test.go
+++ b/deploy/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/objapi"
+	"github.com/azuredeal/azuredeal/seed"
 	"github.com/azuredeal/azuredeal/store"
 )
 
@@ -26,6 +27,7 @@
 type platform struct {
 	*objapi.Server
 	memory *store.Memory
+	seed   uint64 // Added to the seeds of its clients.
 	// before and after see the object name of each write; an error is no answer.
 	before, after func(name string) error
 
@@ -70,7 +72,7 @@
 		p.mu.Unlock()
 		return p.serve(r)
 	})
-	return store.NewHTTP("http://platform", &http.Client{Transport: transport}, store.WithRand(locked(uint64(id))))
+	return store.NewHTTP("http://platform", &http.Client{Transport: transport}, store.WithRand(locked(p.seed+uint64(id))))
 }
 
 type trip func(r *http.Request) (*http.Response, error)
@@ -159,6 +161,7 @@
 			time.Sleep(time.Minute) // Every goroutine of the bubble sees the end.
 		}()
 		p := newPlatform()
+		p.seed = seed.For(t, 0)
 		w := &world{T: t, ctx: ctx, p: p, pub: publisher(p, 1), list: map[string]*deploy.Follower{}}
 		w.block(func(string, string) bool { return false })
 		w.publish(first(routes))
@@ -208,7 +211,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	f := deploy.NewFollower(client)
-	f.Rand = locked(uint64(len(w.list) + 1))
+	f.Rand = locked(w.p.seed + uint64(len(w.list)+1))
 	f.Fetch = func(ctx context.Context, peer string, digests [][]byte) ([]byte, [][]byte, error) {
 		time.Sleep(2 * time.Millisecond)
 		if strings.Contains(w.hang, peer) {
@@ -289,7 +292,7 @@
 
 func publisher(p *platform, seed uint64) *deploy.Publisher {
 	pub := deploy.NewPublisher(p.client())
-	pub.Rand = locked(seed)
+	pub.Rand = locked(p.seed + seed)
 	return pub
 }
 
--- a/deploy/publish_test.go
+++ b/deploy/publish_test.go
@@ -232,9 +232,10 @@
 // that pause between any two writes add and withdraw the same routes, so their
 // chunks come back after they were marked as garbage.
 func TestCollectorKeepsReleases(t *testing.T) {
-	for seed := range uint64(12) {
+	for trial := range uint64(12) {
 		simulate(t, 2, func(w *world) {
-			pause := locked(seed + 100)
+			first := w.p.seed + trial
+			pause := locked(first + 100)
 			w.p.before = func(string) error {
 				if pause() < 0.05 { // Now and then for longer than the collector waits.
 					time.Sleep(time.Duration(pause() * float64(30*time.Minute)))
@@ -243,15 +244,15 @@
 			}
 			done := make(chan int)
 			for i := range 4 {
-				go func() { done <- w.toggle(publisher(w.p, uint64(i)), i, rand.New(rand.NewPCG(seed, uint64(i)))) }()
+				go func() { done <- w.toggle(publisher(w.p, uint64(i)), i, rand.New(rand.NewPCG(first, uint64(i)))) }()
 			}
 			accepted := <-done + <-done + <-done + <-done
 			w.p.before = nil
 			if accepted < 20 || w.p.count("delete") < 1 {
-				t.Errorf("seed %d: %d notes accepted, %d objects deleted", seed, accepted, w.p.count("delete"))
+				t.Errorf("seed %d: %d notes accepted, %d objects deleted", first, accepted, w.p.count("delete"))
 			}
 			if got := w.whole(); got != uint64(accepted+1) {
-				t.Errorf("seed %d: generation %d loads after %d notes", seed, got, accepted)
+				t.Errorf("seed %d: generation %d loads after %d notes", first, got, accepted)
 			}
 		})
 	}
--- a/idem/claims_test.go
+++ b/idem/claims_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/seed"
 	"github.com/azuredeal/azuredeal/wire"
 )
 
@@ -35,7 +36,7 @@
 func TestClaimsShareWrites(t *testing.T) {
 	for _, c := range []struct{ vms, writes int }{{3, 120}, {1, 1}} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t.Context(), c.vms, testSeed)
+			f := newFleet(t.Context(), c.vms, seed.For(t, testSeed))
 			var writes atomic.Int64
 			f.put = func(apply func() error) error { writes.Add(1); return apply() }
 			var owners sync.Map
@@ -62,7 +63,7 @@
 // while a run that began before its expiry may go on.
 func TestClaimsExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t.Context(), 2, testSeed)
+		f := newFleet(t.Context(), 2, seed.For(t, testSeed))
 		first, _ := f.claim(0, 1)
 		time.Sleep(KeyLife + claimGrace - time.Minute)
 		second, err := f.claim(1, 1)
@@ -80,7 +81,7 @@
 // cannot be read and is overwritten.
 func TestClaimsBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t.Context(), 1, testSeed)
+		f := newFleet(t.Context(), 1, seed.For(t, testSeed))
 		writes, client, full := 0, f.memory.Client(), &wire.Claims{}
 		f.put = func(apply func() error) error { writes++; return apply() }
 		for n := range 20_000 {
--- a/idem/fleet_test.go
+++ b/idem/fleet_test.go
@@ -15,6 +15,8 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/seed"
 	"github.com/azuredeal/azuredeal/store"
 	"github.com/azuredeal/azuredeal/wire"
 )
@@ -30,6 +32,7 @@
 // backend server. Its function fields decide what fails.
 type fleet struct {
 	ctx     context.Context
+	seed    uint64
 	memory  *store.Memory
 	get     func() error
 	put     func(apply func() error) error
@@ -52,7 +55,7 @@
 
 func newFleet(ctx context.Context, vms int, seed uint64) *fleet {
 	f := &fleet{
-		ctx: ctx, memory: store.NewMemory(), r: rand.New(rand.NewPCG(seed, 0)), runs: map[string][]time.Time{},
+		ctx: ctx, seed: seed, memory: store.NewMemory(), r: rand.New(rand.NewPCG(seed, 0)), runs: map[string][]time.Time{},
 		get:     func() error { return nil },
 		put:     func(apply func() error) error { return apply() },
 		forward: func(_ *vm, serve func() *wire.Reply) (*wire.Reply, error) { return serve(), nil },
@@ -75,7 +78,9 @@
 	f.last++
 	ctx, cancel := context.WithCancel(f.ctx)
 	self := NewOwner(f.last, fmt.Sprintf("10.0.0.%d:7000", i))
-	guard := NewGuard(NewKeys(secret, self), NewLedger(ctx, 1<<20, 1<<20), NewClaims(ctx, f.client(), self))
+	claims := NewClaims(ctx, f.client(), self)
+	claims.backoff = limit.NewBackoff(downFirst, downMost, f.seed+f.last)
+	guard := NewGuard(NewKeys(secret, self), NewLedger(ctx, 1<<20, 1<<20), claims)
 	guard.Forward = func(ctx context.Context, peer string, m *wire.Forward) (*wire.Reply, error) {
 		var to int
 		_, _ = fmt.Sscanf(peer, "10.0.0.%d:", &to)
@@ -167,7 +172,7 @@
 // for one key, under repeats at several VMs, lost answers of the platform,
 // outages, killed and paused VMs, and lost messages between VMs.
 func TestAtMostOneRun(t *testing.T) {
-	params := gopter.DefaultTestParametersWithSeed(testSeed)
+	params := gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed)))
 	params.MinSuccessfulTests = 150
 	props := gopter.NewProperties(params)
 	ran, answered := 0, 0
--- a/idem/guard_test.go
+++ b/idem/guard_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/seed"
 	"github.com/azuredeal/azuredeal/wire"
 )
 
@@ -19,7 +20,7 @@
 	for _, name := range []string{"own", "issued"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t.Context(), 3, testSeed)
+				f := newFleet(t.Context(), 3, seed.For(t, testSeed))
 				call := Call{Account: "a", Key: "order 17", Method: "POST", Target: "/orders", Body: []byte("2 signs")}
 				if name == "issued" {
 					call.Key = f.vm(0).keys.Issue(time.Now())
@@ -133,7 +134,7 @@
 		lost, runs int
 	}{{true, 1, 1}, {false, 1, 1}, {false, 1000, 0}} {
 		synctest.Test(t, func(t *testing.T) {
-			f, lost, call := newFleet(t.Context(), 1, testSeed), 0, Call{Key: "k"}
+			f, lost, call := newFleet(t.Context(), 1, seed.For(t, testSeed)), 0, Call{Key: "k"}
 			f.put = func(apply func() error) error {
 				lost++
 				if c.applied || lost > c.lost {
@@ -204,13 +205,13 @@
 		{"refused by the owner", &wire.Reply{Kind: "ServerRefused"}, nil, nil, fault.ServerRefused},
 		{"large request", &wire.Reply{Status: 200}, nil, large, fault.OwnerLost},
 	} {
-		v := newFleet(t.Context(), 1, testSeed).vm(0)
+		v := newFleet(t.Context(), 1, seed.For(t, testSeed)).vm(0)
 		v.Forward = func(context.Context, string, *wire.Forward) (*wire.Reply, error) { return c.reply, c.err }
 		key := NewKeys(secret, NewOwner(99, "10.0.0.9:7000")).Issue(time.Now())
 		_, err := v.Do(t.Context(), Call{Key: key, Body: c.body}, nil)
 		wantKind(t, c.name, err, c.want)
 	}
-	f := newFleet(t.Context(), 2, testSeed)
+	f := newFleet(t.Context(), 2, seed.For(t, testSeed))
 	owner := f.vm(0)
 	for want, m := range map[string]*wire.Forward{
 		"OwnerLost: incarnation 77": {Owner: 77, Key: owner.keys.Issue(time.Now()), Deadline: 1000},
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/seed"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -102,7 +103,7 @@
 
 // Guards against an account that exceeds its rate in any interval.
 func TestRatesBoundAccounts(t *testing.T) {
-	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(testSeed))
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed))))
 	props.Property("allowed requests fit rate and burst", prop.ForAll(func(gaps []int, rate, burst int) bool {
 		r, now := limit.NewRates(), epoch
 		var allowed []time.Time
@@ -169,7 +170,7 @@
 		total := ratio*float64(len(earned)) + burst
 		return float64(len(spent)) <= total+1e-6 && float64(len(spent)) > total/3
 	}
-	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(testSeed))
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed))))
 	props.Property("retries fit the budget", prop.ForAll(func(seed uint64) (ok bool) {
 		synctest.Test(t, func(*testing.T) { ok = trial(seed) })
 		return ok
@@ -190,9 +191,9 @@
 // Guards against VMs that all return in the same moment after an outage.
 func TestBackoffSpreadsReturns(t *testing.T) {
 	const vms, grain = 1300, 100 * time.Millisecond
-	returns, most := map[time.Duration]int{}, 0
+	first, returns, most := seed.For(t, 0), map[time.Duration]int{}, 0
 	for vm := range vms {
-		b := limit.NewBackoff(100*time.Millisecond, 10*time.Second, uint64(vm))
+		b := limit.NewBackoff(100*time.Millisecond, 10*time.Second, first+uint64(vm))
 		var at time.Duration
 		for at < time.Minute {
 			pause := b.Next()
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/seed"
 )
 
 const testSeed = 7
@@ -282,7 +283,7 @@
 // Guards against a queue whose counts drift under any mix of arrivals, ends of
 // contexts, deadlines and changes of room.
 func TestQueueKeepsItsBounds(t *testing.T) {
-	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(testSeed))
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed))))
 	props.Property("bounds hold", prop.ForAll(func(seed uint64) (ok bool) {
 		const most, depth, count = 4, 6, 60
 		withQueue(t, most, depth, func(t *testing.T, r *requests) {
--- a/note/chunk_test.go
+++ b/note/chunk_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/seed"
 )
 
 func encode(t testing.TB, rel *note.Release) *note.Encoded {
@@ -88,7 +89,7 @@
 // Guards against an encoding that depends on how a release came about, and
 // against decoding that does not share or not notice unchanged buckets.
 func TestEncodingProperties(t *testing.T) {
-	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters := gopter.DefaultTestParametersWithSeed(int64(seed.For(t, 7)))
 	parameters.MinSuccessfulTests = 30
 	properties := gopter.NewProperties(parameters)
 	properties.Property("the order of notes does not show in the bytes", prop.ForAll(func(seed uint64, n int) bool {
@@ -181,7 +182,7 @@
 // Guards against a chunk that the platform or a peer message cannot hold.
 func TestChunkTooLarge(t *testing.T) {
 	n := &note.Note{ID: "big"}
-	random := rand.New(rand.NewPCG(3, 3))
+	random := rand.New(rand.NewPCG(seed.For(t, 3), 3))
 	for i := range 60 {
 		s := note.Service{Name: sameBucket(i)}
 		for j := range 2000 {
--- a/objapi/objapi_test.go
+++ b/objapi/objapi_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/objapi"
+	"github.com/azuredeal/azuredeal/seed"
 	"github.com/azuredeal/azuredeal/store"
 )
 
@@ -90,7 +91,7 @@
 // so the writer has to read back.
 func TestLostAnswer(t *testing.T) {
 	api, c, _ := start(t)
-	api.SetFaults(objapi.Faults{Lost: 2, Seed: 5})
+	api.SetFaults(objapi.Faults{Lost: 2, Seed: seed.For(t, 5)})
 	lost := 0
 	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
 		_, err := c.Put(t.Context(), name, []byte(name), 0)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -12,6 +12,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/azuredeal/azuredeal/pick"
+	"github.com/azuredeal/azuredeal/seed"
 )
 
 const testSeed = 7
@@ -27,8 +28,8 @@
 
 // Guards against an attempt at an ejected server or at one already tried.
 func TestPickSkipsZeroWeightAndTried(t *testing.T) {
-	params := gopter.DefaultTestParametersWithSeed(testSeed)
-	props := gopter.NewProperties(params)
+	first := seed.For(t, testSeed)
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(int64(first)))
 	props.Property("only usable targets", prop.ForAll(func(weights []int, used []bool) bool {
 		list := targets(len(weights), 3, 0)
 		var tried []*pick.Target
@@ -41,7 +42,7 @@
 				usable++
 			}
 		}
-		p := pick.New("z1", testSeed)
+		p := pick.New("z1", first)
 		p.Set(list)
 		for range 20 {
 			got := p.Pick(tried)
@@ -62,7 +63,7 @@
 func TestPickSharesByWeight(t *testing.T) {
 	list := targets(10, 1, 0)
 	list[0].SetWeight(0.1)
-	p := pick.New("z0", testSeed)
+	p := pick.New("z0", seed.For(t, testSeed))
 	p.Set(list)
 	const picks = 20_000
 	got := 0
@@ -94,7 +95,7 @@
 		{"no answers", 12, func(own *pick.Target) { begin(own, 30) }, 0, 0},
 	} {
 		list := targets(12, c.zones, 0)
-		p := pick.New("z0", testSeed)
+		p := pick.New("z0", seed.For(t, testSeed))
 		p.Set(list)
 		for _, target := range list {
 			if target.Zone() == "z0" {
@@ -124,7 +125,8 @@
 // and against choices that differ between two replays of one trace.
 func TestPickFromManyGoroutines(t *testing.T) {
 	list := targets(20, 4, 0)
-	a, b, both := pick.New("z0", testSeed), pick.New("z0", testSeed), pick.New("z0", testSeed)
+	first := seed.For(t, testSeed)
+	a, b, both := pick.New("z0", first), pick.New("z0", first), pick.New("z0", first)
 	a.Set(list)
 	b.Set(list)
 	both.Set(list)
@@ -150,8 +152,7 @@
 // Guards against a subset that is below the floor, repeats a server or leaves
 // out a zone, and against one that changes much when one server goes.
 func TestSubset(t *testing.T) {
-	params := gopter.DefaultTestParametersWithSeed(testSeed)
-	props := gopter.NewProperties(params)
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed))))
 	props.Property("size, zones, movement", prop.ForAll(func(n, zones, size, floor, vm int) bool {
 		list := targets(n, zones, 0)
 		id := fmt.Sprintf("vm-%d", vm)
@@ -262,7 +263,7 @@
 	list := targets(3, 1, 0)
 	list[0].SetWeight(0.05)
 	list[1].SetWeight(0)
-	p := pick.New("", 1)
+	p := pick.New("", seed.For(t, 1))
 	p.Set(list)
 	for range 1000 {
 		if got := p.PickSteady(nil); got != list[2] {
--- a/proxy/chaos_test.go
+++ b/proxy/chaos_test.go
@@ -12,10 +12,9 @@
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/pick"
+	"github.com/azuredeal/azuredeal/seed"
 )
 
-const chaosSeed = 7
-
 // chaos is a set of backend servers that count the runs of each request, by its
 // body, and misbehave at random.
 type chaos struct {
@@ -59,7 +58,7 @@
 // twice, and "not run" for one that ran, while backend servers misbehave in
 // every way at once.
 func TestCallersAmongFailures(t *testing.T) {
-	x := &chaos{random: rand.New(rand.NewPCG(chaosSeed, 0)), runs: map[string]int{}}
+	x := &chaos{random: rand.New(rand.NewPCG(seed.For(t, 7), 0)), runs: map[string]int{}}
 	var backends []*backend
 	for range 4 {
 		backends = append(backends, serveRaw(t, x.handle))
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -20,6 +20,7 @@
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pick"
+	"github.com/azuredeal/azuredeal/seed"
 )
 
 // backend is a backend server that speaks raw TCP, so that a test decides each
@@ -118,7 +119,7 @@
 	t.Helper()
 	f := &fixture{}
 	f.Handler = New(Options{
-		AnonymousRate: 1e6, AnonymousBurst: 1e6,
+		AnonymousRate: 1e6, AnonymousBurst: 1e6, Seed: seed.For(t, 0),
 		Sample: func(s board.Sample) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
