pick: move at most one server of a subset when a server goes

A divisor method with an offset per VM and zone changes at most one, and the test now asks for that.

--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -152,13 +152,12 @@
 // Guards against a subset that is below the floor, repeats a server or leaves
 // out a zone, and against one that changes much when one server goes.
 func TestSubset(t *testing.T) {
-	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed))))
-	props.Property("size, zones, movement", prop.ForAll(func(n, zones, size, floor, vm int) bool {
+	holds := func(n, zones, size, floor, vm int) bool {
 		list := targets(n, zones, 0)
 		id := fmt.Sprintf("vm-%d", vm)
 		got := pick.Subset(id, list, size, floor)
 		want := min(n, max(8, size, floor))
-		if len(slices.Compact(slices.Clone(got))) != len(got) || len(got) < want || len(got) > want+1 {
+		if len(slices.Compact(slices.Clone(got))) != want || len(got) != want {
 			return false
 		}
 		perZone := map[string]int{}
@@ -170,8 +169,16 @@
 		}
 		gone := vm % n
 		rest := slices.Delete(slices.Clone(list), gone, gone+1)
-		return moved(got, pick.Subset(id, rest, size, floor)) <= 2
-	}, gen.IntRange(1, 200), gen.IntRange(1, 6), gen.IntRange(0, 20), gen.IntRange(0, 15), gen.IntRange(0, 5000)))
+		return moved(got, pick.Subset(id, rest, size, floor)) <= 1
+	}
+	// Seats that follow the position of a zone in a list move with each zone before
+	// it: here the loss of one server once replaced three of 15.
+	if !holds(43, 5, 0, 15, 1334) {
+		t.Error("the loss of one server replaces others")
+	}
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed))))
+	props.Property("size, zones, movement", prop.ForAll(holds,
+		gen.IntRange(1, 200), gen.IntRange(1, 6), gen.IntRange(0, 20), gen.IntRange(0, 15), gen.IntRange(0, 5000)))
 	props.TestingRun(t)
 }
 
--- a/pick/subset.go
+++ b/pick/subset.go
@@ -12,10 +12,10 @@
 // few backend servers leaves a VM with a choice.
 const subsetMin = 8
 
-// Subset returns the targets that the VM with the given id uses: at least
-// max(8, floor, size) of them, or all when there are not more. Each zone gets
-// seats in proportion to its targets; within a zone rendezvous hashing chooses.
-// A VM or target that comes or goes moves few others. The order is by address.
+// Subset returns the targets that the VM with the given id uses: max(8,
+// floor, size) of them, or all when there are not more. Each zone gets seats in
+// proportion to its targets; within a zone rendezvous hashing chooses. A target
+// that comes or goes moves at most one other. The order is by address.
 func Subset(vm string, targets []*Target, size, floor int) []*Target {
 	want := max(subsetMin, floor, size)
 	if len(targets) <= want {
@@ -26,10 +26,8 @@
 		zones[t.zone] = append(zones[t.zone], t)
 	}
 	var out []*Target
-	seats := newSeats(vm, want, len(targets))
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		members := zones[zone]
-		out = append(out, highest(vm, members, seats.take(len(members)))...)
+	for zone, n := range deal(vm, zones, want) {
+		out = append(out, highest(vm, zones[zone], n)...)
 	}
 	slices.SortFunc(out, byAddr)
 	return out
@@ -37,29 +35,29 @@
 
 func byAddr(a, b *Target) int { return cmp.Compare(a.addr, b.addr) }
 
-// seats deals out seats to zones by systematic sampling: each zone gets its
-// proportional share rounded up or down, and the offset, which depends on the
-// VM, makes the rounding even out over the VMs.
-type seats struct {
-	share float64 // Seats for each target, below 1.
-	sum   float64
-	given int
-}
-
-func newSeats(vm string, want, targets int) *seats {
-	offset := float64(score(vm, "")) / math.MaxUint64
-	return &seats{share: float64(want) / float64(targets), sum: offset}
-}
-
-// take returns the seats of the next zone. The grain makes up for the rounding
-// of repeated addition, which would otherwise lose the last seat.
-func (s *seats) take(targets int) int {
-	const grain = 1e-6
-	s.sum += s.share * float64(targets)
-	upTo := int(math.Floor(s.sum + grain))
-	n := min(upTo-s.given, targets)
-	s.given = upTo
-	return n
+// deal gives each zone its number of seats, want in all, which must be below
+// the number of targets. It is a divisor method: the next seat goes to the zone
+// with the lowest (seats so far + offset) / targets. One target less delays the
+// seats of its zone by at most one, so at most one seat moves to another zone.
+// The offset depends on VM and zone, so that the rounding evens out over the VMs.
+func deal(vm string, zones map[string][]*Target, want int) map[string]int {
+	names := slices.Sorted(maps.Keys(zones))
+	offsets := make([]float64, len(names))
+	for i, zone := range names {
+		offsets[i] = float64(score(vm, zone)) / math.MaxUint64
+	}
+	seats := map[string]int{}
+	for range want {
+		next, least := "", math.Inf(1)
+		for i, zone := range names {
+			turn := (float64(seats[zone]) + offsets[i]) / float64(len(zones[zone]))
+			if turn < least {
+				next, least = zone, turn
+			}
+		}
+		seats[next]++
+	}
+	return seats
 }
 
 // highest returns the n targets with the highest scores.
