proxy, deploy: test limits of second attempts and damaged chunks

Without the rule that only a first attempt may go to a server at its limit, or without the second write of a chunk object that exists, these tests fail.

--- a/deploy/publish_test.go
+++ b/deploy/publish_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -170,6 +171,36 @@
 	})
 }
 
+// Guards against a chunk object with other bytes than its name says: a publisher
+// that finds one must write it again, and a follower must not take it. The bytes
+// are those of the chunk before the note, which decode without error.
+func TestDamagedChunk(t *testing.T) {
+	simulate(t, 500, func(w *world) {
+		w.start("vm", w.p.client()).SetWatch(true)
+		w.reach(1, time.Second)
+		rel := w.vms("")["vm"].Release()
+		next, _ := note.Apply(rel, more(0, 1))
+		before, after := must(note.Encode(rel)), must(note.Encode(next))
+		only := func(a, b *note.Encoded) note.Chunk {
+			return a.Chunks()[slices.IndexFunc(a.Chunks(), func(c note.Chunk) bool { return !b.Holds(c.Digest().String()) })]
+		}
+		name, client := "release/chunk/"+only(after, before).Digest().String(), w.p.memory.Client()
+		damage := func() {
+			o, _ := client.Get(w.ctx, name)
+			must(client.Put(w.ctx, name, only(before, after).Data(), o.Version))
+		}
+		damage()
+		w.publish(more(0, 1))
+		w.reach(2, 3*time.Second)
+		damage()
+		vm := w.start("fresh", w.p.client())
+		time.Sleep(time.Minute)
+		if got := vm.Generation(); got != 0 {
+			t.Errorf("generation %d with a damaged chunk is in effect", got)
+		}
+	})
+}
+
 // Guards against a collector that is late: it runs for a release before the one
 // that another publisher is about to build on, and must not take the chunks of
 // that publisher, new or used again, however long both are paused.
--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -290,6 +290,42 @@
 	}
 }
 
+// Guards against retries and hedges that are sent to a server at its limit of
+// concurrent requests, where they wait behind others or are refused.
+func TestNoSecondAttemptAtLimit(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		handle     func(c net.Conn, r *http.Request)
+		status     int
+		kind, ran  string
+	}{
+		{"hedge", "/look/x", func(c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) }, 504, "Timeout", "unknown"},
+		{"failed", "/look/x", func(c net.Conn, r *http.Request) { respond(c, r, 500, "", "") }, 500, "", ""},
+		{"interrupted", "/look/x", func(c net.Conn, _ *http.Request) { c.Close() }, 502, "Interrupted", "unknown"},
+		{"refused", "/act", func(c net.Conn, r *http.Request) { respond(c, r, 503, "Azuredeal-Refused: shed\r\n", "") }, 503, "ServerRefused", "no"},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var sent, asked int
+			f := pipes{
+				"10.0.0.1:1": func(conn net.Conn, r *http.Request) { sent++; c.handle(conn, r) },
+				"10.0.0.2:1": func(net.Conn, *http.Request) { t.Errorf("%s: an attempt was sent to a server at its limit", c.name) },
+			}.fixture(t, func(s *note.Service) { s.Limits.Hedge = c.name == "hedge" })
+			// The budget is asked right before the choice of a server.
+			f.spend = func(*limit.Budget) bool {
+				asked++
+				for _, v := range f.state.Load().services["s"].servers {
+					for v.limit.Begin() {
+					}
+				}
+				return true
+			}
+			expect(t, f.do("POST", c.path, ""), c.status, c.kind, c.ran)
+			synctest.Wait()
+			failIf(t, sent != 1 || asked != 1, "%s: %d attempts, budget asked %d times", c.name, sent, asked)
+		})
+	}
+}
+
 // Guards against a request that is sent after its caller was told "not run",
 // because the process or the connection was held up in between.
 func TestNothingIsSentAfterNotRun(t *testing.T) {
