--- a/deploy/fleet_test.go
+++ b/deploy/fleet_test.go
@@ -185,6 +185,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	defer cancel()
 	f := deploy.NewFollower(w.p.memory.Client())
+	f.Rand = locked(w.p.seed)
 	go func() { _ = f.Run(ctx) }()
 	time.Sleep(10 * time.Second)
 	return f.Generation()
--- a/deploy/publish_test.go
+++ b/deploy/publish_test.go
@@ -220,7 +220,9 @@
 			}
 			return put(ctx, object, value, cond)
 		}
-		return deploy.NewPublisher(c), gate
+		pub := deploy.NewPublisher(c)
+		pub.Rand = locked(w.p.seed)
+		return pub, gate
 	}
 	for _, again := range []bool{false, true} {
 		simulate(t, 2, func(w *world) {
