deploy, limit: make trials repeat exactly and differ between seeds

Pauses of publishers are drawn per object and write, not from one sequence that concurrent writes consume in any order, so a seed gives the same course each run. Trials of different seeds no longer share their seeds.

--- a/deploy/publish_test.go
+++ b/deploy/publish_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -267,14 +268,8 @@
 func TestCollectorKeepsReleases(t *testing.T) {
 	for trial := range uint64(12) {
 		simulate(t, 2, func(w *world) {
-			first := w.p.seed + trial
-			pause := locked(first + 100)
-			w.p.before = func(string) error {
-				if pause() < 0.05 { // Now and then for longer than the collector waits.
-					time.Sleep(time.Duration(pause() * float64(30*time.Minute)))
-				}
-				return nil
-			}
+			first := 1000*trial + w.p.seed // No trial of one seed repeats that of another.
+			w.p.before = pauses(first)
 			done := make(chan int)
 			for i := range 4 {
 				go func() { done <- w.toggle(publisher(w.p, uint64(i)), i, rand.New(rand.NewPCG(first, uint64(i)))) }()
@@ -291,11 +286,32 @@
 	}
 }
 
+// pauses returns a function that holds up some writes, now and then for longer
+// than the collector waits. Each draw depends on the object and how often it was
+// written, so that the order of concurrent writes does not change the others.
+func pauses(seed uint64) func(name string) error {
+	var mu sync.Mutex
+	written := map[string]uint64{}
+	return func(name string) error {
+		mu.Lock()
+		written[name]++
+		n := written[name]
+		mu.Unlock()
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(name))
+		if random := rand.New(rand.NewPCG(seed, hash.Sum64()+n)); random.Float64() < 0.05 {
+			time.Sleep(time.Duration(random.Float64() * float64(30*time.Minute)))
+		}
+		return nil
+	}
+}
+
 // toggle adds and withdraws one route of its own in turn, and returns how many
 // notes were accepted. After each the release has to load.
 func (w *world) toggle(pub *deploy.Publisher, id int, random *rand.Rand) int {
 	base := uint64(1)
 	accepted := 0
+	time.Sleep(time.Duration(id) * time.Millisecond) // A fixed order, and commits that overlap.
 	for i := range 40 {
 		n := more(id, base)
 		if accepted%2 == 1 {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -191,7 +191,7 @@
 // Guards against VMs that all return in the same moment after an outage.
 func TestBackoffSpreadsReturns(t *testing.T) {
 	const vms, grain = 1300, 100 * time.Millisecond
-	first, returns, most := seed.For(t, 0), map[time.Duration]int{}, 0
+	first, returns, most := vms*seed.For(t, 0), map[time.Duration]int{}, 0
 	for vm := range vms {
 		b := limit.NewBackoff(100*time.Millisecond, 10*time.Second, first+uint64(vm))
 		var at time.Duration
