member: do a full sync on every new link

A VM that had no links for more than 10 s and was already known got no full sync on its next link, so it missed what had spread meanwhile until repair reached it. TestNewLinkTellsAll guards the rule; its version without the rule was not run.

--- a/member/bench_test.go
+++ b/member/bench_test.go
@@ -52,7 +52,7 @@
 	f := newFleet(b, 6)
 	f.net.direct = true
 	f.startAll(n)
-	time.Sleep(syncFor) // Links that are not chosen have closed by then.
+	time.Sleep(2 * lingerFor) // Links that are not chosen have closed by then.
 	heap := memory() - base
 	before := f.usage()
 	start := time.Now()
--- a/member/link.go
+++ b/member/link.go
@@ -15,9 +15,6 @@
 	closeAfter = goneAfter
 	// lingerFor is how long a link that is no longer chosen stays open.
 	lingerFor = 3 * time.Second
-	// syncFor is how long after its start or a pause a VM does a full sync on
-	// each new link.
-	syncFor = 10 * time.Second
 	// guestTime is how long a peer that this VM has not chosen keeps its link
 	// while there are more than crowdedLinks. When many VMs start at once and
 	// dial the same seeds, each learns the members in that time and moves on.
@@ -127,8 +124,6 @@
 	if t := v.targets[dialed]; t != nil {
 		t.busy = false
 	}
-	known := v.members[m.id]
-	fresh := known == nil || known.state == Gone || known.incarnation < m.incarnation
 	v.lastLink++
 	l := &link{
 		id: v.lastLink, remote: m.id, incarnation: m.incarnation, dialed: dialed,
@@ -139,9 +134,9 @@
 	if r := v.members[m.id]; r != nil && r.incarnation == m.incarnation {
 		r.heard = now // Hello went both ways.
 	}
-	// Links between VMs that already know each other start without a full sync:
-	// changes reach both by other links, and slices repair the rest.
-	l.syncing = fresh || now.Sub(v.started) < syncFor
+	// The peer may have had no link for a while, which this VM cannot tell, and
+	// has then missed what spread in that time.
+	l.syncing = true
 	return l.id
 }
 
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -90,7 +90,6 @@
 			}
 		}
 		v.view.changes = nil
-		v.view.started = s.now.Add(-time.Hour)
 		v.view.seeds = s.seeds(3)
 	}
 }
--- a/member/view.go
+++ b/member/view.go
@@ -107,7 +107,6 @@
 	chosen   []*record
 	rechoose bool
 	last     time.Time // Last time that any method saw.
-	started  time.Time // Start of this process, or end of its last pause.
 	explore  time.Time // When to try an unknown address next.
 	revisit  time.Time // When to try a member that is gone next.
 	changes  []Change
@@ -137,7 +136,6 @@
 		seeds:   slices.Clone(seeds),
 		rng:     rand.New(rand.NewPCG(seed, r.hash)),
 		last:    now,
-		started: now,
 	}
 	v.reports.init()
 	return v
@@ -218,7 +216,6 @@
 		return
 	}
 	v.stats.Resumed++
-	v.started = now
 	for _, r := range v.ring {
 		if !r.watched.IsZero() {
 			r.watched = now
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -106,13 +106,22 @@
 // viewWithLink returns a view of members 1 to n-1 with a link to member 1.
 func viewWithLink(n int) (*View, LinkID) {
 	v := NewView(testStart, NewMember(vmID(0), 1, "zone-0", "peer-0", ""), nil, 1)
-	v.started = testStart.Add(-time.Hour)
 	for i := 1; i < n; i++ {
 		v.insert(testStart, NewMember(vmID(i), 1, fmt.Sprintf("zone-%d", i%6), fmt.Sprintf("10.0.%d.%d:7400", i>>8, i&255), "10.0.0.0:8080"))
 	}
 	return v, v.LinkUp(testStart, v.members[vmID(1)].wire(), "")
 }
 
+// Guards against a known peer that was without links and, once it has one, does
+// not get what it missed.
+func TestNewLinkTellsAll(t *testing.T) {
+	v, id := viewWithLink(40)
+	told := v.Compose(testStart, id, 0).GetMembers()
+	if len(told) != 39 { // All but the peer itself.
+		t.Errorf("%d records sent, want 39", len(told))
+	}
+}
+
 // Guards against views that depend on the order in which records arrive.
 func TestRecordsConvergeInAnyOrder(t *testing.T) {
 	rng := rand.New(rand.NewPCG(5, 5))
@@ -184,6 +193,7 @@
 	for _, confirms := range []bool{false, true} {
 		v, id := viewWithLink(18)
 		v.links[0].pending = nil
+		v.links[0].syncing = false
 		v.setState(testStart, v.members[vmID(5)], Suspect)
 		sent := 0
 		for i := range 200 {
