replay: use the picker of the entry VM

Cause: the replay had a choice of servers of its own, without the zone preference of package pick, so its figures were not those of the system. Change: policy azuredeal picks with pick.Pick and pick.PickSteady.

--- a/replay/policy.go
+++ b/replay/policy.go
@@ -6,6 +6,7 @@
 
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/health"
+	"github.com/azuredeal/azuredeal/pick"
 )
 
 // Names of the policies.
@@ -32,6 +33,7 @@
 type control struct {
 	views    []view
 	inflight []int
+	targets  []*pick.Target // Of the real picker.
 	// pick returns a server, or -1 when there is no choice. once asks for a
 	// server that is not suspected.
 	pick    func(tried []int, once bool) int
@@ -44,7 +46,7 @@
 	timeout time.Duration        // Of one attempt; 0: the deadline only.
 }
 
-func newControl(policy string, svc *service, origin uint64, now time.Time, random *rand.Rand) *control {
+func newControl(policy string, svc *service, v *vm, origin uint64, random *rand.Rand) *control {
 	c := &control{
 		views:    make([]view, len(svc.servers)),
 		inflight: make([]int, len(svc.servers)),
@@ -56,32 +58,51 @@
 	case PolicyRobin:
 		c.pick = c.robin(random.IntN(len(c.views)))
 	case PolicyFive:
-		c.pick = func(tried []int, _ bool) int { return c.twoChoices(random, tried, 0) }
+		c.pick = func(tried []int, _ bool) int { return c.twoChoices(random, tried) }
 		c.five()
 	case PolicyLeast:
 		c.pick = func(tried []int, _ bool) int { return c.least(random, tried) }
 		c.timeout = svc.Deadline.Std() / 2
 	default:
-		c.pick = func(tried []int, once bool) int { return c.careful(random, tried, once) }
-		c.real(svc, origin, now)
+		c.real(svc, v, origin, random.Uint64())
 	}
 	return c
 }
 
-// real connects the control with a health group.
-func (c *control) real(svc *service, origin uint64, now time.Time) {
+// begin counts an attempt that starts at a server.
+func (c *control) begin(i int) {
+	c.inflight[i]++
+	if c.targets != nil {
+		c.targets[i].Begin()
+	}
+}
+
+// end counts an attempt that ended.
+func (c *control) end(i int) {
+	c.inflight[i]--
+	if c.targets != nil {
+		c.targets[i].End()
+	}
+}
+
+// real connects the control with a health group and a picker, as an entry VM
+// does.
+func (c *control) real(svc *service, v *vm, origin, seed uint64) {
 	g := health.New(svc.Name, health.NewPolicy(svc.Detection))
 	g.SetOrigin(origin)
 	servers := make([]health.Server, 0, len(svc.servers))
-	for _, v := range svc.servers {
-		servers = append(servers, health.NewServer(v.addr, zoneName(v.zone), false))
+	for _, b := range svc.servers {
+		servers = append(servers, health.NewServer(b.addr, zoneName(b.zone), false))
+		c.targets = append(c.targets, pick.NewTarget(b.addr, zoneName(b.zone), svc.Slots))
 	}
-	g.Set(now, servers, svc.Floor)
+	g.Set(v.sim.clock(0), servers, svc.Floor)
+	c.choose(v, seed)
 	c.observe = func(now time.Time, _ int, s board.Sample) { g.Observe(now, s) }
 	c.tick = func(now time.Time, flights []board.Flight) {
 		g.Flights(now, flights)
 		for i, d := range g.Decide(now) {
 			c.views[i] = view{d.State(), d.Weight()}
+			c.targets[i].SetWeight(d.Weight())
 		}
 	}
 	c.probe = func(now time.Time, server int, ok bool) {
@@ -90,6 +111,31 @@
 	c.merge, c.reports, c.hedge = g.Merge, g.Reports, g.Slow
 }
 
+// choose sets the choice of servers to that of package pick.
+func (c *control) choose(v *vm, seed uint64) {
+	picker := pick.New(zoneName(v.zone), seed)
+	picker.Set(c.targets)
+	index := make(map[*pick.Target]int, len(c.targets))
+	for i, t := range c.targets {
+		index[t] = i
+	}
+	c.pick = func(tried []int, once bool) int {
+		left := make([]*pick.Target, 0, len(tried))
+		for _, i := range tried {
+			left = append(left, c.targets[i])
+		}
+		choice := picker.Pick
+		if once {
+			choice = picker.PickSteady
+		}
+		t := choice(left)
+		if t == nil {
+			return -1
+		}
+		return index[t]
+	}
+}
+
 const (
 	probeTime   = 25 * time.Millisecond
 	errorsInRow = 5
@@ -163,22 +209,11 @@
 	return best
 }
 
-// careful keeps requests that cannot be repeated away from suspected servers
-// while there are others: trials cost only requests that can be retried.
-func (c *control) careful(random *rand.Rand, tried []int, once bool) int {
-	if once {
-		if i := c.twoChoices(random, tried, usableWeight); i >= 0 {
-			return i
-		}
-	}
-	return c.twoChoices(random, tried, 0)
-}
-
 // twoChoices draws two servers by weight and takes the one with fewer requests
-// in flight. Servers below the least weight are left out.
-func (c *control) twoChoices(random *rand.Rand, tried []int, least float64) int {
-	a := c.byWeight(random, tried, -1, least)
-	b := c.byWeight(random, tried, a, least)
+// in flight.
+func (c *control) twoChoices(random *rand.Rand, tried []int) int {
+	a := c.byWeight(random, tried, -1)
+	b := c.byWeight(random, tried, a)
 	if a < 0 || b < 0 {
 		return max(a, b)
 	}
@@ -188,10 +223,10 @@
 	return a
 }
 
-func (c *control) byWeight(random *rand.Rand, tried []int, not int, least float64) int {
+func (c *control) byWeight(random *rand.Rand, tried []int, not int) int {
 	total := 0.0
 	for i := range c.views {
-		if c.open(i, tried, not, least) {
+		if c.open(i, tried, not) {
 			total += c.views[i].weight
 		}
 	}
@@ -200,7 +235,7 @@
 	}
 	left, last := random.Float64()*total, -1
 	for i := range c.views {
-		if !c.open(i, tried, not, least) {
+		if !c.open(i, tried, not) {
 			continue
 		}
 		last = i
@@ -211,9 +246,9 @@
 	return last
 }
 
-func (c *control) open(i int, tried []int, not int, least float64) bool {
+func (c *control) open(i int, tried []int, not int) bool {
 	w := c.views[i].weight
-	return w > 0 && w >= least && i != not && !contains(tried, i)
+	return w > 0 && i != not && !contains(tried, i)
 }
 
 func contains(list []int, x int) bool {
--- a/replay/sim.go
+++ b/replay/sim.go
@@ -111,7 +111,7 @@
 	v := &vm{sim: s, index: i, zone: i % s.trace.Zones}
 	for _, svc := range s.services {
 		random := rand.New(rand.NewPCG(s.seed, uint64(i)<<32|uint64(svc.index)<<8|streamPick))
-		c := newControl(s.policy, svc, uint64(originOffset+i), s.clock(0), random)
+		c := newControl(s.policy, svc, v, uint64(originOffset+i), random)
 		v.controls = append(v.controls, c)
 		v.flights = append(v.flights, make([][]*attempt, len(svc.servers)))
 		v.weights = append(v.weights, make([]float64, len(svc.servers)))
--- a/replay/vm.go
+++ b/replay/vm.go
@@ -101,7 +101,7 @@
 	r.sent++
 	r.tried = append(r.tried, i)
 	r.open = append(r.open, a)
-	c.inflight[i]++
+	c.begin(i)
 	v.flights[r.service.index][i] = append(v.flights[r.service.index][i], a)
 	s.at(s.now+s.delay(v.zone, a.server.zone), func() { a.server.arrive(a) })
 	if c.hedge != nil && !r.once {
@@ -148,7 +148,7 @@
 	list := &r.vm.flights[r.service.index][a.server.index]
 	*list = remove(*list, a)
 	c := r.vm.controls[r.service.index]
-	c.inflight[a.server.index]--
+	c.end(a.server.index)
 	if c.observe == nil {
 		return
 	}
