--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -41,7 +41,9 @@
 // 90% of the slots of 20 backend servers. Callers, VM and backend servers share
 // the process. The same load sent directly, by the same rule for the choice of
 // server, is subtracted from latency, processor time and allocations. Latency is
-// the time of a request less the time in the handler of the backend server.
+// the time of a request less the time in the handler of the backend server. More
+// than 2 iterations of Saturated would exceed the keys that the ledger remembers
+// for one account.
 //
 //	go test -run xxx -bench Added -benchtime 1x -count 3 ./entry
 func BenchmarkAdded(b *testing.B) {
