Reserve the system's own paths; requests for services bypass the mux

http.ServeMux answered unclean paths with a redirect before the proxy could refuse them. Routes below /azuredeal/ are refused, as they would never get a request. The ledger no longer makes an error with a stack for each run (seen in a profile).

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,9 @@
 	}
 }
 
+// ownPaths begins the paths of the system's own calls on the callers' address.
+const ownPaths = "/azuredeal/"
+
 // handler returns the handler of the callers' address. Only the two calls below
 // /azuredeal/v1/ are the system's own; no call of the operators' API is here.
 func (c *callers) handler() http.Handler {
@@ -75,8 +79,15 @@
 		Path:        "/azuredeal/v1/keys",
 		Summary:     "Issue idempotency keys that work while the platform is down",
 	}, c.postKeys)
-	mux.Handle("/", c.proxy)
-	return c.closeWhenLeaving(mux)
+	return c.closeWhenLeaving(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Requests for services bypass the mux, which would redirect paths that it
+		// holds to be unclean.
+		if strings.HasPrefix(r.URL.Path, ownPaths) {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		c.proxy.ServeHTTP(w, r)
+	}))
 }
 
 func (c *callers) getAddresses(_ context.Context, in *addressesInput) (*addressesOutput, error) {
--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -116,6 +116,10 @@
 	}
 }
 
+// errNoReturn stands until a run has returned; it is made once because an error
+// records its stack.
+var errNoReturn = fault.New(fault.Internal, "the run did not return")
+
 // run dispatches the request and records how that ended, also after a panic.
 func (l *Ledger) run(caller context.Context, e *entry, run Run) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), timeLeft(caller))
@@ -127,7 +131,7 @@
 	defer overdue.Stop()
 	defer context.AfterFunc(ctx, func() { overdue.Reset(runGrace) })()
 	var answer *Answer
-	err := fault.New(fault.Internal, "the run did not return")
+	err := errNoReturn
 	defer func() {
 		if p := recover(); p != nil {
 			answer, err = nil, fault.New(fault.Internal, "panic in the run: %v", p)
--- a/note/check.go
+++ b/note/check.go
@@ -122,6 +122,9 @@
 }
 
 // check adds the problems of the route itself; its defaults are filled in.
+// ownPaths begins the paths of the system's own calls on the callers' address.
+const ownPaths = "/azuredeal/"
+
 func (t Route) check(p *Problems, path string) {
 	checkName(p, path+".name", t.Name)
 	if t.Host != "" && (len(t.Host) > maxHost || !hostPattern.MatchString(t.Host)) {
@@ -131,6 +134,9 @@
 	if strings.HasSuffix(t.Path, "*") && !strings.HasSuffix(t.Path, "/*") {
 		p.Add(path+".path", t.Path, `"*" only as the last part, after a "/"`)
 	}
+	if strings.HasPrefix(t.Path, ownPaths) {
+		p.Add(path+".path", t.Path, "a path outside %s, which the entry VMs answer themselves", ownPaths)
+	}
 	t.checkMethods(p, path+".methods")
 	switch {
 	case !t.Idempotent:
--- a/note/page_test.go
+++ b/note/page_test.go
@@ -33,3 +33,14 @@
 		}
 	}
 }
+
+// A route below the system's own paths would never get a request.
+func TestOwnPathsAreReserved(t *testing.T) {
+	n := &note.Note{ID: "n", Added: note.Changes{Routes: []note.Route{
+		{Name: "r", Service: "layout", Path: "/azuredeal/v1/keys", Methods: []string{"POST"}},
+	}}}
+	_, problems := note.Apply(shop(t), n)
+	if len(problems) != 1 || problems[0].Path() != "added.routes[0].path" {
+		t.Errorf("problems: %v", problems)
+	}
+}
