peer: let a write end with the session that its bytes end

TestOversizedFrameEndsLink failed in about 6 of 100 runs: the other side ends the session on the length, and yamux may report that before the write returns. The test now accepts this one error and checks that the link was up before.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -20,6 +20,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/azuredeal/azuredeal/fault"
@@ -265,7 +266,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := l.stream.Write([]byte{0, 1, 0, 1}); err != nil { // 64 KB and one byte.
+		select {
+		case <-down:
+			t.Fatal("the link ended before the message")
+		default:
+		}
+		// 64 KB and one byte. The other side may end the session on these bytes
+		// before the write has returned, which yamux then reports.
+		if _, err := l.stream.Write([]byte{0, 1, 0, 1}); err != nil && !errors.Is(err, yamux.ErrSessionShutdown) {
 			t.Fatal(err)
 		}
 		<-down
