--- a/member/link.go
+++ b/member/link.go
@@ -15,9 +15,6 @@
 	closeAfter = goneAfter
 	// lingerFor is how long a link that is no longer chosen stays open.
 	lingerFor = 3 * time.Second
-	// syncFor is how long after its start or a pause a VM does a full sync on
-	// each new link.
-	syncFor = 10 * time.Second
 	// guestTime is how long a peer that this VM has not chosen keeps its link
 	// while there are more than crowdedLinks. When many VMs start at once and
 	// dial the same seeds, each learns the members in that time and moves on.
@@ -42,6 +39,7 @@
 	heardAt     time.Time // When that was; the start of the link before the first.
 	deaf        bool      // Others hear the peer and this VM does not.
 	mute        bool      // The peer says that it does not hear this VM.
+	stale       bool      // This process was paused for so long that the peer gave up.
 	due         time.Time // When the next heartbeat is due.
 	unwanted    time.Time // Since when the peer is not chosen; zero when it is.
 	pending     []*item   // Records to send or to be confirmed, in order.
@@ -102,7 +100,10 @@
 	}
 }
 
-func (l *link) resumed(now time.Time) {
+// resumed starts the silence of the link afresh after a pause of this process.
+// After a long one the peer has given the link up, and what waits on it is old.
+func (l *link) resumed(now time.Time, pause time.Duration) {
+	l.stale = l.stale || pause >= closeAfter
 	l.heardAt = now
 	l.deaf, l.mute = false, false
 }
@@ -123,8 +124,6 @@
 	if t := v.targets[dialed]; t != nil {
 		t.busy = false
 	}
-	known := v.members[m.id]
-	fresh := known == nil || known.state == Gone || known.incarnation < m.incarnation
 	v.lastLink++
 	l := &link{
 		id: v.lastLink, remote: m.id, incarnation: m.incarnation, dialed: dialed,
@@ -132,9 +131,12 @@
 	}
 	v.links = append(v.links, l)
 	v.merge(now, l, m)
-	// Links between VMs that already know each other start without a full sync:
-	// changes reach both by other links, and slices repair the rest.
-	l.syncing = fresh || now.Sub(v.started) < syncFor
+	if r := v.members[m.id]; r != nil && r.incarnation == m.incarnation {
+		r.heard = now // Hello went both ways.
+	}
+	// The peer may have had no link for a while, which this VM cannot tell, and
+	// has then missed what spread in that time.
+	l.syncing = true
 	return l.id
 }
 
@@ -229,7 +231,7 @@
 			l.unwanted = now
 		}
 		switch {
-		case now.Sub(l.heardAt) >= closeAfter,
+		case l.stale, now.Sub(l.heardAt) >= closeAfter,
 			l.dialed != "" && !l.unwanted.IsZero() && now.Sub(l.unwanted) >= lingerFor,
 			v.isSpare(l, v.links[i+1:]):
 			out = append(out, l.id)
--- a/member/view.go
+++ b/member/view.go
@@ -107,7 +107,6 @@
 	chosen   []*record
 	rechoose bool
 	last     time.Time // Last time that any method saw.
-	started  time.Time // Start of this process, or end of its last pause.
 	explore  time.Time // When to try an unknown address next.
 	revisit  time.Time // When to try a member that is gone next.
 	changes  []Change
@@ -137,7 +136,6 @@
 		seeds:   slices.Clone(seeds),
 		rng:     rand.New(rand.NewPCG(seed, r.hash)),
 		last:    now,
-		started: now,
 	}
 	v.reports.init()
 	return v
@@ -169,6 +167,14 @@
 // hint is a VM that may exist.
 type hint struct{ id, addr string }
 
+// Urge makes a heartbeat due on every link, for news that cannot wait.
+func (v *View) Urge(now time.Time) {
+	v.advance(now)
+	for _, l := range v.links {
+		l.due = now
+	}
+}
+
 // Hint takes the platform's list of VMs, which lags, as addresses to try. It
 // changes no record. An empty list leaves the earlier hints.
 func (v *View) Hint(vms []store.VM) {
@@ -210,7 +216,6 @@
 		return
 	}
 	v.stats.Resumed++
-	v.started = now
 	for _, r := range v.ring {
 		if !r.watched.IsZero() {
 			r.watched = now
@@ -221,7 +226,7 @@
 		r.accused = time.Time{}
 	}
 	for _, l := range v.links {
-		l.resumed(now)
+		l.resumed(now, gap)
 	}
 	if gap >= forgetAfter {
 		v.forgetAll(now)
@@ -356,7 +361,7 @@
 func (v *View) Apply(now time.Time, id LinkID, h *wire.Heartbeat) {
 	v.advance(now)
 	l := v.link(id)
-	if l == nil || h.GetIncarnation() != l.incarnation {
+	if l == nil || l.stale || h.GetIncarnation() != l.incarnation {
 		return
 	}
 	v.heardOn(now, l, h)
