--- a/health/floor_test.go
+++ b/health/floor_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/seed"
 )
 
 const (
@@ -128,7 +129,7 @@
 // are draining or leaving.
 func TestFloorHolds(t *testing.T) {
 	t.Parallel()
-	params := gopter.DefaultTestParametersWithSeed(propertySeed)
+	params := gopter.DefaultTestParametersWithSeed(int64(seed.For(t, propertySeed)))
 	params.MinSuccessfulTests = propertyRuns
 	properties := gopter.NewProperties(params)
 	for _, profile := range []string{note.ProfileFast, note.ProfileSteady} {
