--- a/deploy/head.go
+++ b/deploy/head.go
@@ -127,15 +127,3 @@
 func spread(d time.Duration, share float64, unit func() float64) time.Duration {
 	return time.Duration(float64(d) * (1 - share + 2*share*unit()))
 }
-
-// pause reports false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/deploy/publish.go
+++ b/deploy/publish.go
@@ -13,6 +13,7 @@
 
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/sleep"
 	"github.com/azuredeal/azuredeal/store"
 )
 
@@ -236,7 +237,7 @@
 		if kind := fault.Of(err); kind != fault.Conflict && kind != fault.PlatformDown {
 			return err
 		}
-		if fault.Of(err) == fault.PlatformDown && !pause(ctx, wait.next()) {
+		if fault.Of(err) == fault.PlatformDown && !sleep.For(ctx, wait.next()) {
 			return err
 		}
 		o, readErr := p.client.Get(ctx, name)
@@ -280,7 +281,7 @@
 // readBack reads head after a failed update.
 func (p *Publisher) readBack(ctx context.Context, cause error, wait *backoff) (*head, error) {
 	for range writeTries {
-		if fault.Of(cause) == fault.PlatformDown && !pause(ctx, wait.next()) {
+		if fault.Of(cause) == fault.PlatformDown && !sleep.For(ctx, wait.next()) {
 			return nil, cause
 		}
 		now, err := readHead(ctx, p.client)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pick"
+	"github.com/azuredeal/azuredeal/sleep"
 )
 
 const (
@@ -54,7 +55,7 @@
 		})
 		chosen := deploy.WatchHolders(v.settings.Zone, zone, deploy.MaxHolders)
 		part[*deploy.Follower](v).SetWatch(slices.Contains(chosen, v.settings.Name))
-		if !pause(ctx, holdersCheck) {
+		if !sleep.For(ctx, holdersCheck) {
 			return ctx.Err()
 		}
 	}
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/sleep"
 )
 
 const (
@@ -47,7 +48,7 @@
 	period = max(period, minPeriod)
 	for {
 		span := period * time.Duration(max(1, p.vms()/probersWanted))
-		if !pause(ctx, time.Duration((0.5+rand.Float64())*float64(span))) {
+		if !sleep.For(ctx, time.Duration((0.5+rand.Float64())*float64(span))) {
 			return
 		}
 		p.round(ctx, s)
@@ -82,15 +83,3 @@
 	defer resp.Body.Close() //nolint:errcheck // The body is not read.
 	return resp.StatusCode < http.StatusInternalServerError
 }
-
-// pause waits; it reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/proxy"
+	"github.com/azuredeal/azuredeal/sleep"
 )
 
 const (
@@ -87,7 +88,7 @@
 	v.log.Info().Stringer("ttl", v.settings.Drain.TTL.Std()).Msg("leaving")
 	v.callers.leaving.Store(true)
 	part[*member.Service](v).Leave()
-	if !pause(ctx, v.settings.Drain.TTL.Std()) {
+	if !sleep.For(ctx, v.settings.Drain.TTL.Std()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, v.settings.Drain.Deadline.Std())
@@ -100,7 +101,7 @@
 // settle waits for requests that other VMs have forwarded here.
 func (v *VM) settle(ctx context.Context) {
 	handler := part[*proxy.Handler](v)
-	for len(handler.Flights()) > 0 && pause(ctx, settleCheck) {
+	for len(handler.Flights()) > 0 && sleep.For(ctx, settleCheck) {
 	}
 }
 
--- a/idem/claims.go
+++ b/idem/claims.go
@@ -12,6 +12,7 @@
 
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/sleep"
 	"github.com/azuredeal/azuredeal/store"
 	"github.com/azuredeal/azuredeal/wire"
 )
@@ -193,14 +194,7 @@
 // pause spreads out the writers that met in a conflict.
 func (c *Claims) pause(try int) bool {
 	const unit = 2 * time.Millisecond
-	timer := time.NewTimer(time.Duration(rand.Int64N(int64(unit) << try)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.base.Done():
-		return false
-	}
+	return sleep.For(c.base, time.Duration(rand.Int64N(int64(unit)<<try)))
 }
 
 func (c *Claims) read(name string) (store.Object, error) {
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/azuredeal/azuredeal/sleep"
 )
 
 const (
@@ -105,12 +107,8 @@
 
 // Wait sleeps for the next pause. It returns the error of ctx when that ends first.
 func (b *Backoff) Wait(ctx context.Context) error {
-	timer := time.NewTimer(b.Next())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !sleep.For(ctx, b.Next()) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/objapi/faults.go
+++ b/objapi/faults.go
@@ -1,7 +1,6 @@
 package objapi
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/sleep"
 	"github.com/azuredeal/azuredeal/store"
 )
 
@@ -94,7 +94,7 @@
 func (s *Server) delay(w http.ResponseWriter, r *http.Request) bool {
 	f := s.Faults()
 	if f.Latency > 0 {
-		pause(r.Context(), time.Duration(f.Latency)*time.Millisecond)
+		sleep.For(r.Context(), time.Duration(f.Latency)*time.Millisecond)
 	}
 	switch f.Outage {
 	case OutageDrop:
@@ -112,15 +112,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // abort ends the connection without an answer.
 func abort() { panic(http.ErrAbortHandler) }
 
--- a/store/http.go
+++ b/store/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/sleep"
 )
 
 const (
@@ -166,7 +167,7 @@
 func (r *remote) repeat(ctx context.Context, read func() error) error {
 	var err error
 	for try := range readTries {
-		if try > 0 && !sleep(ctx, time.Duration((0.5+r.unit())*float64(repeatPause))) {
+		if try > 0 && !sleep.For(ctx, time.Duration((0.5+r.unit())*float64(repeatPause))) {
 			return err
 		}
 		if err = read(); fault.Of(err) != fault.PlatformDown || ctx.Err() != nil {
@@ -176,18 +177,6 @@
 	return err
 }
 
-// sleep reports false when the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ask is one call of the object API.
 type ask struct {
 	method  string
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/azuredeal/azuredeal/sleep"
 )
 
 // Options set up a worker.
@@ -175,7 +177,7 @@
 	}
 	defer func() { <-s.slots }()
 	b, id := s.begin(r)
-	if !sleep(ctx, s.duration(b)) {
+	if !sleep.For(ctx, s.duration(b)) {
 		// Returning without a status would end as an empty answer with status 200.
 		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
 		return
@@ -242,17 +244,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, b Behavior, previous string, body []byte) {
 	text := fmt.Sprintf("%s %s %s %d %s\n", s.opts.Name, r.Method, r.URL.Path, len(body), r.Header.Get(headerID))
 	switch b.Mode {
