--- a/health/floor_test.go
+++ b/health/floor_test.go
@@ -28,13 +28,13 @@
 	now     time.Time
 	servers []Server
 	floor   int
-	doubted map[string]bool // Ever said to be draining or cold.
+	drained map[string]bool // Ever said to be draining or cold.
 }
 
 func newFloorModel(profile string) *floorModel {
 	m := &floorModel{
 		g: New("layout", NewPolicy(note.Detection{Profile: profile})), now: time.Unix(1000, 0),
-		doubted: map[string]bool{},
+		drained: map[string]bool{},
 	}
 	m.set(0xfff, 0, 5)
 	return m
@@ -76,7 +76,7 @@
 	}
 	if x>>28 < 2 {
 		r.condition = Condition(x>>28 + 1)
-		m.doubted[addr] = true
+		m.drained[addr] = true
 	}
 	return r
 }
@@ -87,7 +87,7 @@
 		if x>>28 != 0 {
 			out = board.Late
 		} else {
-			m.doubted[addr] = true
+			m.drained[addr] = true
 		}
 	}
 	m.g.Observe(m.now, board.Sample{
@@ -105,7 +105,7 @@
 	}
 	for i, d := range decisions {
 		s := m.servers[i]
-		if !s.Leaving() && !m.doubted[s.Addr()] {
+		if !s.Leaving() && !m.drained[s.Addr()] {
 			certain++
 		}
 		if (s.Leaving() || d.State() == Draining) && d.Weight() != 0 {
--- a/member/bench_test.go
+++ b/member/bench_test.go
@@ -16,9 +16,9 @@
 //	go test -run xxx -bench Members -benchtime 1x ./member
 //
 // conn-B/s are bytes below TLS, sent plus received; hb/s are heartbeats sent;
-// cpu-ms/s is CPU time of the process by member. doubts and pauses are counts of
+// cpu-ms/s is CPU time of the process by member. queries and pauses are counts of
 // the fleet in the window; on a machine without load they are 0 when idle, and
-// each doubt costs a round of messages. The churn runs replace one VM in
+// each query costs a round of messages. The churn runs replace one VM in
 // a hundred a minute, and at least one: it leaves, is killed, and another starts.
 func BenchmarkMembers(b *testing.B) {
 	for _, churn := range []bool{false, true} {
@@ -42,9 +42,9 @@
 )
 
 type usage struct {
-	cpu             time.Duration
-	bytes, messages uint64
-	doubts, resumes uint64
+	cpu              time.Duration
+	bytes, messages  uint64
+	queries, resumes uint64
 }
 
 func measureFleet(b *testing.B, n int, churn bool) {
@@ -79,7 +79,7 @@
 	b.ReportMetric(float64((after.cpu-before.cpu).Microseconds())/1000/seconds, "cpu-ms/s")
 	b.ReportMetric(float64(heap)/1024/float64(n), "KB")
 	b.ReportMetric(float64(links)/float64(n), "links")
-	b.ReportMetric(float64(after.doubts-before.doubts), "doubts")
+	b.ReportMetric(float64(after.queries-before.queries), "queries")
 	b.ReportMetric(float64(after.resumes-before.resumes), "pauses")
 	b.ReportMetric(float64(replaced), "replaced")
 	b.ReportMetric(0, "ns/op")
@@ -92,7 +92,7 @@
 	for _, v := range f.vms {
 		u.bytes += v.counter("azuredeal_peer_conn_sent_bytes_total") + v.counter("azuredeal_peer_conn_received_bytes_total")
 		u.messages += v.counter(`azuredeal_peer_sent_messages_total{kind="heartbeat"}`)
-		u.doubts += v.counter("azuredeal_member_doubts_total")
+		u.queries += v.counter("azuredeal_member_queries_total")
 		u.resumes += v.counter("azuredeal_member_pauses_total")
 	}
 	u.cpu = cpuTime()
--- a/member/link.go
+++ b/member/link.go
@@ -15,10 +15,10 @@
 	closeAfter = goneAfter
 	// lingerFor is how long a link that is no longer chosen stays open.
 	lingerFor = 3 * time.Second
-	// guestTime is how long a peer that this VM has not chosen keeps its link
-	// while there are more than crowdedLinks. When many VMs start at once and
+	// unchosenTime is how long a peer that this VM has not chosen keeps its link
+	// while there are more than softLinkLimit. When many VMs start at once and
 	// dial the same seeds, each learns the members in that time and moves on.
-	guestTime = time.Second
+	unchosenTime = time.Second
 	// steadyAfter is the life of a link after which its address is dialed again
 	// without a pause. A peer that refuses links ends them at once.
 	steadyAfter = 5 * time.Second
@@ -37,8 +37,8 @@
 	seq         uint64    // Last heartbeat sent.
 	heard       uint64    // Last heartbeat received.
 	heardAt     time.Time // When that was; the start of the link before the first.
-	deaf        bool      // Others hear the peer and this VM does not.
-	mute        bool      // The peer says that it does not hear this VM.
+	rxDown      bool      // Others hear the peer and this VM does not.
+	txDown      bool      // The peer says that it does not hear this VM.
 	stale       bool      // This process was paused for so long that the peer gave up.
 	due         time.Time // When the next heartbeat is due.
 	unwanted    time.Time // Since when the peer is not chosen; zero when it is.
@@ -61,7 +61,7 @@
 	done     bool
 }
 
-func (l *link) oneWay() bool { return l.deaf || l.mute }
+func (l *link) oneWay() bool { return l.rxDown || l.txDown }
 
 // queue adds r to what the link has to send, soon.
 func (l *link) queue(now time.Time, r *record, question bool) {
@@ -105,7 +105,7 @@
 func (l *link) resumed(now time.Time, pause time.Duration) {
 	l.stale = l.stale || pause >= closeAfter
 	l.heardAt = now
-	l.deaf, l.mute = false, false
+	l.rxDown, l.txDown = false, false
 }
 
 // LinkUp registers a link after Hello. remote is the peer's own record, dialed
@@ -178,17 +178,17 @@
 func (v *View) heardOn(now time.Time, l *link, h *wire.Heartbeat) {
 	l.heard = max(l.heard, h.GetSeq())
 	l.heardAt = now
-	l.deaf = false
+	l.rxDown = false
 	l.confirmed(h.GetHeard())
 	silence := time.Duration(h.GetSilence()) * time.Millisecond
 	wasOneWay := l.oneWay()
-	l.mute = silence >= suspectAfter
+	l.txDown = silence >= suspectAfter
 	r := v.members[l.remote]
 	if r == nil || r.incarnation != l.incarnation {
 		return
 	}
 	r.heard = now
-	if l.mute && !wasOneWay {
+	if l.txDown && !wasOneWay {
 		v.markOneWay(now, r)
 	}
 }
@@ -205,12 +205,12 @@
 func (v *View) judgeLinks(now time.Time) {
 	for _, l := range v.links {
 		r := v.members[l.remote]
-		if l.deaf || r == nil || r.incarnation != l.incarnation || now.Sub(l.heardAt) < suspectAfter {
+		if l.rxDown || r == nil || r.incarnation != l.incarnation || now.Sub(l.heardAt) < suspectAfter {
 			continue
 		}
-		if r.provedAfter(l.heardAt) || r.heard.Sub(l.heardAt) >= doubtAfter {
+		if r.provedAfter(l.heardAt) || r.heard.Sub(l.heardAt) >= queryAfter {
 			wasOneWay := l.oneWay()
-			l.deaf = true
+			l.rxDown = true
 			if !wasOneWay {
 				v.markOneWay(now, r)
 			}
@@ -219,10 +219,10 @@
 }
 
 // closing returns the links to give up: silent ones, those that are no longer
-// chosen, all but the newest of several to one peer, and guests in a crowd.
+// chosen, all but the newest of several to one peer, and unchosen links above the limit.
 func (v *View) closing(now time.Time) []LinkID {
 	var out []LinkID
-	excess := len(v.links) - crowdedLinks
+	excess := len(v.links) - softLinkLimit
 	for i, l := range v.links {
 		r := v.members[l.remote]
 		if r != nil && r.chosen {
@@ -236,7 +236,7 @@
 			v.isSpare(l, v.links[i+1:]):
 			out = append(out, l.id)
 			excess--
-		case excess > 0 && !l.unwanted.IsZero() && !l.syncing && now.Sub(l.up) >= guestTime:
+		case excess > 0 && !l.unwanted.IsZero() && !l.syncing && now.Sub(l.up) >= unchosenTime:
 			out = append(out, l.id)
 			excess--
 		}
--- a/member/merge.go
+++ b/member/merge.go
@@ -47,7 +47,7 @@
 
 // mergeNew takes in a record of a member that the view does not hold.
 func (v *View) mergeNew(now time.Time, l *link, m Member) {
-	g, buried := v.graves[m.id]
+	g, buried := v.tombstones[m.id]
 	old := Member{id: m.id, incarnation: g.incarnation, version: g.version, state: Gone}
 	switch {
 	case m.state == Unknown:
@@ -59,7 +59,7 @@
 		v.stats.Outdated++
 		l.answers = append(l.answers, old)
 	case len(v.members) < maxMembers:
-		delete(v.graves, m.id)
+		delete(v.tombstones, m.id)
 		v.spread(now, v.insert(now, m), l.id)
 	}
 }
@@ -72,7 +72,7 @@
 		l.queue(now, r, false)
 	case c > 0 || r.state == Gone:
 		// The answer travels with the newer record, or there will be none.
-	case now.Sub(r.heard) < doubtAfter:
+	case now.Sub(r.heard) < queryAfter:
 		for _, o := range v.links {
 			if o.remote == r.id && !o.oneWay() {
 				o.queue(now, r, true)
@@ -85,10 +85,10 @@
 
 // ask spreads the question whether anybody hears r, once for each version.
 func (v *View) ask(now time.Time, r *record, from LinkID) {
-	if r.doubted == r.version {
+	if r.queried == r.version {
 		return
 	}
-	r.doubted = r.version
+	r.queried = r.version
 	for _, l := range v.links {
 		if l.id != from {
 			l.queue(now, r, true)
@@ -100,7 +100,7 @@
 func (v *View) mergeNewer(now time.Time, l *link, r *record, m Member) {
 	if m.incarnation != r.incarnation {
 		r.heard = time.Time{}
-		r.doubted = 0
+		r.queried = 0
 		r.avoid = time.Time{}
 	}
 	if m.runs() {
--- a/member/service.go
+++ b/member/service.go
@@ -75,7 +75,7 @@
 
 type counters struct {
 	changes [Gone + 1]*metrics.Counter
-	doubts, refutations, oneWay,
+	queries, refutations, oneWay,
 	outdated, resumed *metrics.Counter
 }
 
@@ -84,7 +84,7 @@
 	for s := Unknown; s <= Gone; s++ {
 		c.changes[s] = set.GetOrCreateCounter(fmt.Sprintf(`azuredeal_member_changes_total{state=%q}`, s))
 	}
-	c.doubts = set.GetOrCreateCounter(`azuredeal_member_doubts_total`)
+	c.queries = set.GetOrCreateCounter(`azuredeal_member_queries_total`)
 	c.refutations = set.GetOrCreateCounter(`azuredeal_member_refutations_total`)
 	c.oneWay = set.GetOrCreateCounter(`azuredeal_member_oneway_links_total`)
 	c.outdated = set.GetOrCreateCounter(`azuredeal_member_outdated_records_total`)
@@ -93,7 +93,7 @@
 }
 
 func (c *counters) set(s Stats) {
-	c.doubts.Set(s.Doubts)
+	c.queries.Set(s.Queries)
 	c.refutations.Set(s.Refutations)
 	c.oneWay.Set(s.OneWay)
 	c.outdated.Set(s.Outdated)
@@ -228,7 +228,7 @@
 	s.mu.Lock()
 	if generation > s.generation {
 		s.generation = generation
-		s.view.Urge(time.Now())
+		s.view.HeartbeatNow(time.Now())
 	}
 	plan := s.view.Tick(time.Now())
 	if len(plan.Changes) > 0 {
--- a/member/service_test.go
+++ b/member/service_test.go
@@ -68,15 +68,15 @@
 		}
 		b := f.vms[slices.IndexFunc(f.vms, func(v *vm) bool { return v.id == dump.Peers[0] })]
 		f.net.cut(a.id, b.id)
-		var mute, deaf bool
+		var txDown, rxDown bool
 		f.waitFor("the link marked by both sides", 4*time.Second, func() bool {
 			for _, l := range a.svc.Dump().Links {
-				mute = mute || (l.Remote == b.id && l.Mute)
+				txDown = txDown || (l.Remote == b.id && l.TxDown)
 			}
 			for _, l := range b.svc.Dump().Links {
-				deaf = deaf || (l.Remote == a.id && l.Deaf)
+				rxDown = rxDown || (l.Remote == a.id && l.RxDown)
 			}
-			return mute && deaf
+			return txDown && rxDown
 		})
 		time.Sleep(2 * time.Minute)
 		f.noFalseStates("during the cut", f.vms)
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -361,7 +361,7 @@
 		t.Logf("n=%d: common view after %v", n, s.now.Sub(begin))
 		s.run(10 * time.Second)
 		for _, v := range s.vms {
-			if links := len(v.view.links); v.alive() != n || links < peersPerVM || links > crowdedLinks {
+			if links := len(v.view.links); v.alive() != n || links < peersPerVM || links > softLinkLimit {
 				t.Errorf("n=%d: vm %d holds %d alive and has %d links", n, v.index, v.alive(), links)
 			}
 			for _, c := range v.changes {
--- a/member/snapshot.go
+++ b/member/snapshot.go
@@ -84,13 +84,13 @@
 
 // Dump is the state of a view for operators.
 type Dump struct {
-	Self    DumpMember   `json:"self"`
-	Members []DumpMember `json:"members"`
-	Links   []DumpLink   `json:"links"`
-	Peers   []string     `json:"peers"`  // Ids that this VM has chosen.
-	Avoids  []string     `json:"avoids"` // Ids that it leaves out after a one-way cut.
-	Graves  int          `json:"graves"` // Forgotten members whose version is kept.
-	Stats   Stats        `json:"stats"`
+	Self       DumpMember   `json:"self"`
+	Members    []DumpMember `json:"members"`
+	Links      []DumpLink   `json:"links"`
+	Peers      []string     `json:"peers"`      // Ids that this VM has chosen.
+	Avoids     []string     `json:"avoids"`     // Ids that it leaves out after a one-way cut.
+	Tombstones int          `json:"tombstones"` // Forgotten members whose version is kept.
+	Stats      Stats        `json:"stats"`
 }
 
 // DumpMember is a member in a Dump.
@@ -112,14 +112,14 @@
 	Sent    uint64 `json:"sent"`  // Sequence number of the last heartbeat sent.
 	Heard   uint64 `json:"heard"` // And of the last one received.
 	Silence string `json:"silence"`
-	Deaf    bool   `json:"deaf"` // Others hear the peer and this VM does not.
-	Mute    bool   `json:"mute"` // The peer does not hear this VM.
+	RxDown  bool   `json:"rxdown"` // Others hear the peer and this VM does not.
+	TxDown  bool   `json:"txdown"` // The peer does not hear this VM.
 	Pending int    `json:"pending"`
 }
 
 // Dump returns the state for operators.
 func (v *View) Dump(now time.Time) Dump {
-	d := Dump{Graves: len(v.graves), Stats: v.stats}
+	d := Dump{Tombstones: len(v.tombstones), Stats: v.stats}
 	for _, r := range v.ring {
 		m := DumpMember{
 			ID: r.id, Incarnation: r.incarnation, Version: r.version, Zone: r.zone,
@@ -139,7 +139,7 @@
 	for _, l := range v.links {
 		d.Links = append(d.Links, DumpLink{
 			Remote: l.remote, Dialed: l.dialed != "", Sent: l.seq, Heard: l.heard,
-			Silence: now.Sub(l.heardAt).String(), Deaf: l.deaf, Mute: l.mute, Pending: len(l.pending),
+			Silence: now.Sub(l.heardAt).String(), RxDown: l.rxDown, TxDown: l.txDown, Pending: len(l.pending),
 		})
 	}
 	return d
--- a/member/view.go
+++ b/member/view.go
@@ -21,9 +21,9 @@
 	// heartbeatJitter, which keeps the VMs from sending in step.
 	heartbeatEvery  = 500 * time.Millisecond
 	heartbeatJitter = 50 * time.Millisecond
-	// doubtAfter is the silence after which a VM asks the fleet whether anybody
+	// queryAfter is the silence after which a VM asks the fleet whether anybody
 	// hears a member. It leaves the answer a second before suspectAfter.
-	doubtAfter   = time.Second
+	queryAfter   = time.Second
 	suspectAfter = 2 * time.Second
 	goneAfter    = 6 * time.Second
 	// accuseAfter is the time that a member which one part of the fleet has
@@ -34,9 +34,9 @@
 	// forgetAfter outlasts a partition between regions of an hour: until then
 	// the addresses of members that are gone are tried now and then.
 	forgetAfter = 2 * time.Hour
-	// graveTime is how long the version of a forgotten member is kept, so that
+	// tombstoneTime is how long the version of a forgotten member is kept, so that
 	// an old record cannot bring it back.
-	graveTime = 24 * time.Hour
+	tombstoneTime = 24 * time.Hour
 	// spreadGone is how long a record that is gone takes part in repair. Without
 	// it, VMs that start would hand such records to each other for ever.
 	spreadGone = 2 * time.Minute
@@ -44,12 +44,12 @@
 
 // Bounds.
 const (
-	maxMembers = 8192 // Records of a view.
-	maxGraves  = 8192
-	maxLinks   = 64
-	// crowdedLinks is above the links that a VM has once the fleet is settled:
+	maxMembers    = 8192 // Records of a view.
+	maxTombstones = 8192
+	maxLinks      = 64
+	// softLinkLimit is above the links that a VM has once the fleet is settled:
 	// about 14, and 30 in the tail.
-	crowdedLinks = 32
+	softLinkLimit = 32
 )
 
 // record is a member with what this VM knows about it first hand.
@@ -60,13 +60,13 @@
 	heard   time.Time // Last heartbeat on a link of this VM.
 	proof   time.Time // Last time that the member raised its version.
 	watched time.Time // Since when this VM watches it; zero when it does not.
-	doubted uint64    // Version that a question was spread for.
+	queried uint64    // Version that a question was spread for.
 	accused time.Time // When a VM said that this version, alive here, is gone.
 	avoid   time.Time // Until when it is not chosen as peer.
 	chosen  bool
 }
 
-type grave struct {
+type tombstone struct {
 	incarnation, version uint64
 	at                   time.Time
 }
@@ -92,17 +92,17 @@
 
 // View is one VM's view of the fleet. It is not safe for concurrent use.
 type View struct {
-	self     *record
-	members  map[string]*record
-	ring     []*record // All records by hash.
-	graves   map[string]grave
-	links    []*link // In the order in which they came up.
-	lastLink LinkID
-	targets  map[string]*target
-	seeds    []string
-	hints    []hint
-	reports  reportTable
-	rng      *rand.Rand
+	self       *record
+	members    map[string]*record
+	ring       []*record // All records by hash.
+	tombstones map[string]tombstone
+	links      []*link // In the order in which they came up.
+	lastLink   LinkID
+	targets    map[string]*target
+	seeds      []string
+	hints      []hint
+	reports    reportTable
+	rng        *rand.Rand
 
 	chosen   []*record
 	rechoose bool
@@ -116,7 +116,7 @@
 
 // Stats counts events of a view since its start.
 type Stats struct {
-	Doubts      uint64 `json:"doubts"`      // Questions that this VM started.
+	Queries     uint64 `json:"queries"`     // Questions that this VM started.
 	Refutations uint64 `json:"refutations"` // Versions that it raised to show that it runs.
 	OneWay      uint64 `json:"oneway"`      // Links that became one-way.
 	Outdated    uint64 `json:"outdated"`    // Records that were older than the own.
@@ -128,14 +128,14 @@
 func NewView(now time.Time, self Member, seeds []string, seed uint64) *View {
 	r := &record{Member: self, hash: hashID(self.id), since: now}
 	v := &View{
-		self:    r,
-		members: map[string]*record{self.id: r},
-		ring:    []*record{r},
-		graves:  map[string]grave{},
-		targets: map[string]*target{},
-		seeds:   slices.Clone(seeds),
-		rng:     rand.New(rand.NewPCG(seed, r.hash)),
-		last:    now,
+		self:       r,
+		members:    map[string]*record{self.id: r},
+		ring:       []*record{r},
+		tombstones: map[string]tombstone{},
+		targets:    map[string]*target{},
+		seeds:      slices.Clone(seeds),
+		rng:        rand.New(rand.NewPCG(seed, r.hash)),
+		last:       now,
 	}
 	v.reports.init()
 	return v
@@ -167,8 +167,8 @@
 // hint is a VM that may exist.
 type hint struct{ id, addr string }
 
-// Urge makes a heartbeat due on every link, for news that cannot wait.
-func (v *View) Urge(now time.Time) {
+// HeartbeatNow makes a heartbeat due on every link, for news that cannot wait.
+func (v *View) HeartbeatNow(now time.Time) {
 	v.advance(now)
 	for _, l := range v.links {
 		l.due = now
@@ -267,9 +267,9 @@
 	for _, r := range old {
 		v.remove(now, r)
 	}
-	for id, g := range v.graves {
-		if now.Sub(g.at) >= graveTime {
-			delete(v.graves, id)
+	for id, g := range v.tombstones {
+		if now.Sub(g.at) >= tombstoneTime {
+			delete(v.tombstones, id)
 		}
 	}
 }
@@ -293,10 +293,10 @@
 }
 
 func (v *View) bury(now time.Time, m Member) {
-	if _, ok := v.graves[m.id]; !ok && len(v.graves) >= maxGraves {
+	if _, ok := v.tombstones[m.id]; !ok && len(v.tombstones) >= maxTombstones {
 		return
 	}
-	v.graves[m.id] = grave{incarnation: m.incarnation, version: m.version, at: now}
+	v.tombstones[m.id] = tombstone{incarnation: m.incarnation, version: m.version, at: now}
 }
 
 // setState changes the state of another member's record and spreads it.
--- a/member/watch.go
+++ b/member/watch.go
@@ -41,8 +41,8 @@
 			v.setState(now, r, Gone)
 		case r.state == Alive && silence >= suspectAfter:
 			v.setState(now, r, Suspect)
-		case r.runs() && silence >= doubtAfter && r.doubted != r.version:
-			v.stats.Doubts++
+		case r.runs() && silence >= queryAfter && r.queried != r.version:
+			v.stats.Queries++
 			v.ask(now, r, 0)
 		}
 		if v.isUnreachable(now, r) {
@@ -60,5 +60,5 @@
 // provedAfter reports whether the member showed to others that it runs, a while
 // after t. A version that it raised just after t may have been its last act.
 func (r *record) provedAfter(t time.Time) bool {
-	return r.proof.Sub(t) >= doubtAfter
+	return r.proof.Sub(t) >= queryAfter
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -84,18 +84,18 @@
 
 // dispatch sends the attempts of one call.
 type dispatch struct {
-	call    *call
-	ctx     context.Context
-	whole   bool
-	stem    string // Of the request ids of attempts.
-	gate    gate
-	tried   []*pick.Target
-	begun   []begun // Parallel to tried.
-	results chan result
-	pending int
-	recent  *window // Nil when the call is not hedged.
-	spare   *reply  // A whole response that reports a failure of the server.
-	doubt   error   // Of an attempt that may have run.
+	call     *call
+	ctx      context.Context
+	whole    bool
+	stem     string // Of the request ids of attempts.
+	gate     gate
+	tried    []*pick.Target
+	begun    []begun // Parallel to tried.
+	results  chan result
+	pending  int
+	recent   *window // Nil when the call is not hedged.
+	spare    *reply  // A whole response that reports a failure of the server.
+	maybeRan error   // Of an attempt that may have run.
 	// room is the memory of tried and begun until there are retries.
 	room struct {
 		tried [1]*pick.Target
@@ -149,7 +149,7 @@
 	if r.err == nil {
 		d.keep(r.reply)
 	} else if fault.Of(r.err).Answer().Ran() != fault.No {
-		d.doubt = r.err
+		d.maybeRan = r.err
 	}
 	if d.pending > 0 {
 		return nil, nil, false
@@ -349,8 +349,8 @@
 		return fault.Wrap(fault.Timeout, ended, "after bytes were sent")
 	case ended != nil:
 		return fault.Wrap(fault.Canceled, ended, "after bytes were sent")
-	case d.doubt != nil:
-		return d.doubt
+	case d.maybeRan != nil:
+		return d.maybeRan
 	}
 	return fault.Wrap(fault.Interrupted, err, "an earlier attempt may have run")
 }
