--- a/entry/dump.go
+++ b/entry/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -67,7 +68,24 @@
 	}
 	snapshot := part[*member.Service](v).Snapshot()
 	zones := lo.SliceToMap(snapshot.Alive(), func(m member.Member) (string, string) { return m.Entry(), m.Zone() })
-	return lo.Map(snapshot.Entries(zone, v.settings.Name), func(addr string, _ int) Address {
+	out := lo.Map(snapshot.Entries(zone, v.settings.Name), func(addr string, _ int) Address {
 		return Address{Addr: addr, Zone: zones[addr]}
 	})
+	rank := v.distance(zone)
+	slices.SortStableFunc(out, func(a, b Address) int { return rank(a.Zone) - rank(b.Zone) })
+	return out
+}
+
+// distance returns the order of zones for a caller in the given zone: that zone,
+// then those of the settings in their order, then all others.
+func (v *VM) distance(zone string) func(other string) int {
+	return func(other string) int {
+		if other == zone {
+			return -1
+		}
+		if i := slices.Index(v.settings.Zones, other); i >= 0 {
+			return i
+		}
+		return len(v.settings.Zones)
+	}
 }
