entry, replay: no preference for the VM's own zone

VMs in a slow zone see little of the others. Change: entry VMs pass no zone to the picker; the replay does the same.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -68,7 +68,8 @@
 	// These two serve every request, so they are looked up once.
 	control, guard := part[*board.Board](v), part[*idem.Guard](v)
 	return proxy.New(proxy.Options{
-		Zone:           v.settings.Zone,
+		// No Zone: with a preference for the VM's own zone, VMs in a slow zone see
+		// little of the others and eject its servers (replay traces zone and stall).
 		Seed:           v.incarnation,
 		AnonymousRate:  v.settings.Limits.Rate,
 		AnonymousBurst: v.settings.Limits.Burst,
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -96,7 +96,7 @@
 		c.targets = append(c.targets, pick.NewTarget(b.addr, zoneName(b.zone), svc.Slots))
 	}
 	g.Set(v.sim.clock(0), servers, svc.Floor)
-	c.choose(v, seed)
+	c.choose(seed)
 	c.observe = func(now time.Time, _ int, s board.Sample) { g.Observe(now, s) }
 	c.tick = func(now time.Time, flights []board.Flight) {
 		g.Flights(now, flights)
@@ -112,8 +112,8 @@
 }
 
 // choose sets the choice of servers to that of package pick.
-func (c *control) choose(v *vm, seed uint64) {
-	picker := pick.New(zoneName(v.zone), seed)
+func (c *control) choose(seed uint64) {
+	picker := pick.New("", seed) // An entry VM prefers no zone either.
 	picker.Set(c.targets)
 	index := make(map[*pick.Target]int, len(c.targets))
 	for i, t := range c.targets {
