proxy: keep the queue of a service when its depth changes

Cause: a release that changed limits.queue gave the service a new queue, which did not count the requests that ran, so twice as many could run as there was room. limit.Queue had SetDepth for this, and nothing called it. TestQueueOutlivesItsDepth fails without the change.

--- a/proxy/service.go
+++ b/proxy/service.go
@@ -80,8 +80,12 @@
 		s.picker, s.recent, s.count = old.picker, old.recent, old.count
 		s.queue, s.budget = old.queue, old.budget
 	}
-	if old == nil || old.note.Limits.Queue != n.Limits.Queue {
-		s.queue = limit.NewQueue(1, orDefault(n.Limits.Queue, defaultQueue))
+	depth := orDefault(n.Limits.Queue, defaultQueue)
+	if old == nil {
+		s.queue = limit.NewQueue(1, depth)
+	} else {
+		// A new queue would not count the requests that run.
+		s.queue.SetDepth(depth)
 	}
 	if old == nil || old.note.Limits.Retry != n.Limits.Retry {
 		s.budget = limit.NewBudget(n.Limits.Retry, budgetBurst)
