One place for the own paths, the keys of a VM and the limit of a note

note and entry each had the prefix of the system's own paths; entry made the signer of issued keys twice; admin had a limit of its own beside that of note.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -15,11 +15,13 @@
 	"github.com/danielgtaylor/huma/v2/adapters/humago"
 
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/strict"
 )
 
-// MaxNote is the largest release note that an operator can publish, in bytes.
-const MaxNote = 32 << 20
+// maxBody, in bytes, is above the limit of note, which names the problem of a note
+// that is too large.
+const maxBody = 2 * note.MaxNote
 
 // Options are the parts of the VM that operators reach.
 type Options struct {
@@ -81,7 +83,7 @@
 		Method:       http.MethodPost,
 		Path:         "/v1/releases",
 		Summary:      "Publish a release note",
-		MaxBodyBytes: MaxNote,
+		MaxBodyBytes: maxBody,
 		// The note's own validation names every problem; huma's would hide it.
 		SkipValidateBody: true,
 	}, func(ctx context.Context, in *publishInput) (*publishOutput, error) {
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -50,8 +50,10 @@
 	do.Provide(i, v.newProxy)
 	do.Provide(i, v.newPeer)
 	do.Provide(i, v.newMembers)
+	self := idem.NewOwner(v.incarnation, v.PeerAddr())
+	do.ProvideValue(i, idem.NewKeys([]byte(v.settings.Peer.Secret), self))
 	do.Provide(i, func(do.Injector) (*idem.Ledger, error) { return idem.NewLedger(ctx, ledgerKeys, ledgerBytes), nil })
-	do.Provide(i, func(do.Injector) (*idem.Guard, error) { return v.newGuard(ctx) })
+	do.Provide(i, func(do.Injector) (*idem.Guard, error) { return v.newGuard(ctx, self), nil })
 	do.Provide(i, func(do.Injector) (*deploy.Follower, error) { return v.newFollower(ctx) })
 	do.Provide(i, v.newPublisher)
 	do.Provide(i, v.newAdmin)
@@ -160,17 +162,16 @@
 		Stringer("before", c.From).Stringer("state", c.Member.State()).Msg("member changed state")
 }
 
-func (v *VM) newGuard(ctx context.Context) (*idem.Guard, error) {
-	self := idem.NewOwner(v.incarnation, v.PeerAddr())
+func (v *VM) newGuard(ctx context.Context, self idem.Owner) *idem.Guard {
 	guard := idem.NewGuard(
-		idem.NewKeys([]byte(v.settings.Peer.Secret), self),
+		part[*idem.Keys](v),
 		part[*idem.Ledger](v),
 		idem.NewClaims(ctx, part[*store.Client](v), self),
 	)
 	guard.Forward = func(ctx context.Context, addr string, f *wire.Forward) (*wire.Reply, error) {
 		return part[*peer.Peer](v).Forward(ctx, addr, f)
 	}
-	return guard, nil
+	return guard
 }
 
 func (v *VM) newFollower(ctx context.Context) (*deploy.Follower, error) {
@@ -241,7 +242,7 @@
 }
 
 func (v *VM) newCallers() *callers {
-	keys := idem.NewKeys([]byte(v.settings.Peer.Secret), idem.NewOwner(v.incarnation, v.PeerAddr()))
+	keys := part[*idem.Keys](v)
 	return &callers{
 		addresses: v.addresses,
 		issue: func(count int) []string {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -12,6 +12,7 @@
 
 	"github.com/azuredeal/azuredeal/admin"
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/note"
 )
 
 // Address is one address that callers can use.
@@ -54,9 +55,6 @@
 	}
 }
 
-// ownPaths begins the paths of the system's own calls on the callers' address.
-const ownPaths = "/azuredeal/"
-
 // handler returns the handler of the callers' address. Only the two calls below
 // /azuredeal/v1/ are the system's own; no call of the operators' API is here.
 func (c *callers) handler() http.Handler {
@@ -82,7 +80,7 @@
 	return c.closeWhenLeaving(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Requests for services bypass the mux, which would redirect paths that it
 		// holds to be unclean.
-		if strings.HasPrefix(r.URL.Path, ownPaths) {
+		if strings.HasPrefix(r.URL.Path, note.OwnPaths) {
 			mux.ServeHTTP(w, r)
 			return
 		}
--- a/note/check.go
+++ b/note/check.go
@@ -121,10 +121,11 @@
 	}
 }
 
-// check adds the problems of the route itself; its defaults are filled in.
-// ownPaths begins the paths of the system's own calls on the callers' address.
-const ownPaths = "/azuredeal/"
+// OwnPaths begins the paths of the system's own calls on the callers' address. No
+// route may lie below it.
+const OwnPaths = "/azuredeal/"
 
+// check adds the problems of the route itself; its defaults are filled in.
 func (t Route) check(p *Problems, path string) {
 	checkName(p, path+".name", t.Name)
 	if t.Host != "" && (len(t.Host) > maxHost || !hostPattern.MatchString(t.Host)) {
@@ -134,8 +135,8 @@
 	if strings.HasSuffix(t.Path, "*") && !strings.HasSuffix(t.Path, "/*") {
 		p.Add(path+".path", t.Path, `"*" only as the last part, after a "/"`)
 	}
-	if strings.HasPrefix(t.Path, ownPaths) {
-		p.Add(path+".path", t.Path, "a path outside %s, which the entry VMs answer themselves", ownPaths)
+	if strings.HasPrefix(t.Path, OwnPaths) {
+		p.Add(path+".path", t.Path, "a path outside %s, which the entry VMs answer themselves", OwnPaths)
 	}
 	t.checkMethods(p, path+".methods")
 	switch {
