--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"os/signal"
@@ -8,21 +9,26 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/demo"
 	"github.com/azuredeal/azuredeal/entry"
+	"github.com/azuredeal/azuredeal/platform"
 	"github.com/azuredeal/azuredeal/strict"
 )
 
 type serveCommand struct {
-	File string `arg:"" help:"Settings, JSON." type:"existingfile"`
+	File string `arg:"" optional:"" help:"Settings, JSON; by default the file that AZUREDEAL_BOOT names."`
 }
 
+// settingsVariable names the environment variable with the path of the settings.
+const settingsVariable = "AZUREDEAL_BOOT"
+
 // Run serves until a signal. The first one begins the graceful shutdown, the
 // second one ends it.
 func (c *serveCommand) Run(ctx context.Context) error {
-	settings, err := conf.Load(c.File)
+	settings, err := conf.Load(cmp.Or(c.File, os.Getenv(settingsVariable)))
 	var problems strict.Problems
 	if errors.As(err, &problems) {
 		return report(err)
@@ -34,29 +40,73 @@
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
 	hard, cut := context.WithCancel(context.WithoutCancel(ctx))
 	defer cut()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	if settings.Platform.Form == conf.FormObjects {
+		return serveObjects(hard, settings, log, signals, cut)
+	}
 	vm, err := entry.New(hard, settings, entry.Options{Log: log})
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	go func() {
-		for _, step := range []func(){vm.Drain, cut} {
-			select {
-			case <-signals:
-				step()
-			case <-hard.Done():
-				return
-			}
-		}
-	}()
+	go stopOn(hard, signals, vm.Drain, cut)
 	return vm.Run(hard)
 }
 
+// stopOn runs one step at each signal.
+func stopOn(ctx context.Context, signals <-chan os.Signal, steps ...func()) {
+	for _, step := range steps {
+		select {
+		case <-signals:
+			step()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// serveObjects runs an entry VM on a platform with a metadata store of objects.
+func serveObjects(hard context.Context, settings conf.Settings, log zerolog.Logger, signals <-chan os.Signal, cut func()) error {
+	client := platform.NewClient(settings.Platform.URL)
+	fleet := platform.NewFleet(client, log)
+	join, joined := context.WithCancel(hard)
+	go stopOn(join, signals, joined)
+	secret, incarnation, err := fleet.Join(join, settings)
+	if err != nil {
+		return err
+	}
+	joined()
+	settings.Peer.Secret = secret
+	var vm *entry.VM
+	source := platform.NewSource(client, settings.Platform, func() int { return vm.Alive() }, log)
+	vm, err = entry.New(hard, settings, entry.Options{
+		Log:         log,
+		Dialect:     platform.Dialect(),
+		Source:      source.Run,
+		Hints:       fleet.VMs,
+		Incarnation: incarnation,
+	})
+	if err != nil {
+		return err
+	}
+	go stopOn(hard, signals, vm.Drain, cut)
+	group, ctx := errgroup.WithContext(hard)
+	ctx, end := context.WithCancel(ctx)
+	group.Go(func() error { return platform.NewFront(settings, vm, log).Run(ctx) })
+	group.Go(func() error {
+		defer end()
+		return vm.Run(hard)
+	})
+	if err := group.Wait(); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
 type demoCommand struct {
 	Verbose bool `help:"Print the log lines of the entry VMs."`
 }
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -39,9 +39,30 @@
 	Seeds  []string `json:"seeds"` // Peer addresses to try first.
 }
 
-// Platform is where the platform's object API answers.
+// Forms of a platform.
+const (
+	FormOwn     = "own"     // The object API that azuredeal's own stand-in serves.
+	FormObjects = "objects" // A metadata store of objects by kind, see docs/platform.md.
+)
+
+// Platform is where the platform answers, and what it asks of the fleet. All but
+// URL and Form is used with FormObjects only, where no release note says it.
 type Platform struct {
-	URL string `json:"url"`
+	URL  string `json:"url"`
+	Form string `json:"form"`
+	// Retry and Slack bound the retries and hedges of the fleet for a service within
+	// any 10 s: Retry of the requests, and Slack more.
+	Retry float64 `json:"retry"`
+	Slack int     `json:"slack"`
+	Floor float64 `json:"floor"` // Share of a service's backend servers that ejection leaves.
+	// Return is how long after an outage of the platform the entries of backend
+	// servers that run may still be missing.
+	Return note.Duration `json:"return"`
+}
+
+// Extra is an address for one purpose; empty serves nothing.
+type Extra struct {
+	Addr string `json:"addr"` // "ip:port".
 }
 
 // Limits bounds what callers may use on this VM.
@@ -58,7 +79,10 @@
 type Drain struct {
 	// TTL is how long callers keep an answer with addresses. A leaving VM goes on
 	// serving that long.
-	TTL      note.Duration `json:"ttl"`
+	TTL note.Duration `json:"ttl"`
+	// Stay is how long a leaving VM goes on serving; 0 takes TTL. Callers that keep
+	// answers for longer than TTL need more.
+	Stay     note.Duration `json:"stay"`
 	Deadline note.Duration `json:"deadline"` // Time for requests in flight after that.
 }
 
@@ -71,9 +95,13 @@
 	Admin    Admin    `json:"admin"`
 	Peer     Peer     `json:"peer"`
 	Platform Platform `json:"platform"`
-	Limits   Limits   `json:"limits"`
-	Drain    Drain    `json:"drain"`
-	Log      string   `json:"log"`
+	// Ready answers whether the VM is ready, Lookup which addresses callers use, both
+	// in the platform's form.
+	Ready  Extra  `json:"ready"`
+	Lookup Extra  `json:"lookup"`
+	Limits Limits `json:"limits"`
+	Drain  Drain  `json:"drain"`
+	Log    string `json:"log"`
 }
 
 // Default returns settings with every optional field set.
@@ -87,6 +115,12 @@
 			Rate:   100,
 			Burst:  200,
 		},
+		Platform: Platform{
+			Form:   FormOwn,
+			Retry:  0.1,
+			Floor:  0.5,
+			Return: note.Duration(2 * time.Second),
+		},
 		Drain: Drain{
 			TTL:      note.Duration(30 * time.Second),
 			Deadline: note.Duration(time.Minute),
@@ -135,12 +169,28 @@
 	if u, err := url.Parse(s.Platform.URL); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		ps.Add("platform.url", s.Platform.URL, "an http or https URL")
 	}
+	s.checkPlatform(ps)
 	s.checkLimits(ps)
 	if !slices.Contains(levels, s.Log) {
 		ps.Add("log", s.Log, "one of %s", strings.Join(levels, ", "))
 	}
 }
 
+func (s *Settings) checkPlatform(ps *strict.Problems) {
+	p := s.Platform
+	if p.Form != FormOwn && p.Form != FormObjects {
+		ps.Add("platform.form", p.Form, "%s or %s", FormOwn, FormObjects)
+	}
+	if p.Retry < 0 || p.Retry > 1 {
+		ps.Add("platform.retry", p.Retry, "0 to 1")
+	}
+	if p.Floor < 0 || p.Floor > 1 {
+		ps.Add("platform.floor", p.Floor, "0 to 1")
+	}
+	checkRange(ps, "platform.slack", p.Slack, 0, maxConns)
+	checkSpan(ps, "platform.return", p.Return)
+}
+
 func checkName(ps *strict.Problems, path, name string) {
 	if name == "" || len(name) > maxName {
 		ps.Add(path, name, "a name of 1 to 63 bytes")
@@ -154,6 +204,14 @@
 	for i, seed := range s.Peer.Seeds {
 		checkAddr(ps, "peer.seeds["+strconv.Itoa(i)+"]", seed)
 	}
+	for _, extra := range []struct{ path, addr string }{
+		{"ready.addr", s.Ready.Addr},
+		{"lookup.addr", s.Lookup.Addr},
+	} {
+		if extra.addr != "" {
+			checkAddr(ps, extra.path, extra.addr)
+		}
+	}
 	// Port 0 asks for a free port, so two of them are different addresses.
 	if entry, err := netip.ParseAddrPort(s.Entry.Addr); err == nil && entry.Port() != 0 && s.Admin.Addr == s.Entry.Addr {
 		ps.Add("admin.addr", s.Admin.Addr, "an address other than entry.addr, which callers reach")
@@ -180,7 +238,8 @@
 	if set != 0 && set != 3 {
 		ps.Add("peer.ca", "some of ca, cert and key are empty", "all three or none")
 	}
-	if len(s.Peer.Secret) < minSecret {
+	// With FormObjects the secret lies in the platform.
+	if len(s.Peer.Secret) < minSecret && (s.Platform.Form != FormObjects || s.Peer.Secret != "") {
 		ps.Add("peer.secret", strconv.Itoa(len(s.Peer.Secret))+" bytes", "at least 32 bytes")
 	}
 }
@@ -191,6 +250,9 @@
 	checkSpan(ps, "limits.read", s.Limits.Read)
 	checkSpan(ps, "limits.idle", s.Limits.Idle)
 	checkSpan(ps, "drain.ttl", s.Drain.TTL)
+	if s.Drain.Stay != 0 {
+		checkSpan(ps, "drain.stay", s.Drain.Stay)
+	}
 	checkSpan(ps, "drain.deadline", s.Drain.Deadline)
 	if s.Limits.Rate <= 0 {
 		ps.Add("limits.rate", s.Limits.Rate, "a number above 0")
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +16,7 @@
 
 	"github.com/azuredeal/azuredeal/admin"
 	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/caller"
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/fault"
@@ -30,6 +32,7 @@
 const (
 	ledgerKeys  = 200_000  // Keys of one hour at about 50 a second.
 	ledgerBytes = 16 << 20 // Of answers that are kept.
+	maxBody     = 64 << 20 // Bytes of a request body; the service of its route may allow less.
 )
 
 // part returns a part of the VM. Parts that use each other, such as peers and
@@ -57,9 +60,14 @@
 	do.Provide(i, func(do.Injector) (*deploy.Follower, error) { return v.newFollower(ctx) })
 	do.Provide(i, v.newPublisher)
 	do.Provide(i, v.newAdmin)
-	handler := part[*proxy.Handler](v)
-	v.health.flights, v.health.apply = handler.Flights, handler.SetWeights
+	traffic := part[*proxy.Handler](v)
+	v.health.flights, v.health.apply = traffic.Flights, traffic.SetWeights
 	v.callers = v.newCallers()
+	handler := v.callers.handler()
+	if v.opts.Source != nil {
+		handler = traffic // Paths and keys are the platform's; none is the fleet's own.
+	}
+	v.server = caller.New(handler, v.callerLimits(), counters)
 	v.registerGauges(counters)
 	v.probes = newProbes(ctx, newProber(v.Alive, func(service, server string, ok bool, took time.Duration) {
 		_ = part[*board.Board](v).Do(ctx, func(now time.Time) { v.health.probe(now, service, server, ok, took) })
@@ -68,16 +76,21 @@
 
 func (v *VM) newProxy(do.Injector) (*proxy.Handler, error) {
 	// These two serve every request, so they are looked up once.
-	control, guard := part[*board.Board](v), part[*idem.Guard](v)
+	control := part[*board.Board](v)
+	var once func(context.Context, idem.Call, idem.Run) (*idem.Answer, error)
+	if v.opts.Source == nil {
+		once = part[*idem.Guard](v).Do
+	}
 	return proxy.New(proxy.Options{
 		// No Zone: with a preference for the VM's own zone, VMs in a slow zone see
 		// little of the others and eject its servers (replay traces zone and stall).
+		Dialect:        v.opts.Dialect,
 		Seed:           v.incarnation,
 		AnonymousRate:  v.settings.Limits.Rate,
 		AnonymousBurst: v.settings.Limits.Burst,
 		BodyTime:       v.settings.Limits.Read.Std(),
 		Sample:         func(s board.Sample) { control.Post(s) },
-		Once:           guard.Do,
+		Once:           once,
 		Metrics:        part[*metrics.Set](v),
 	}), nil
 }
@@ -88,24 +101,28 @@
 		return nil, err
 	}
 	members := func() *member.Service { return part[*member.Service](v) }
-	return peer.New(peer.Options{
+	opts := peer.Options{
 		Key:     []byte(v.settings.Peer.Secret),
 		CA:      files[0],
 		Cert:    files[1],
 		CertKey: files[2],
 		Self:    func() *wire.Member { return members().Record() },
 		Listen:  func() (net.Listener, error) { return v.listeners.peer, nil },
-		OnFetch: func(_ context.Context, f *wire.Fetch) (*wire.Chunks, error) {
-			head, chunks := part[*deploy.Follower](v).Serve(f.GetDigests())
-			return &wire.Chunks{Head: head, Chunks: chunks}, nil
-		},
-		OnForward: func(ctx context.Context, f *wire.Forward) (*wire.Reply, error) {
-			return v.serveForward(ctx, f), nil
-		},
+
 		OnHeartbeat: func(l *peer.Link, h *wire.Heartbeat) { members().OnHeartbeat(l, h) },
 		OnLink:      func(l *peer.Link, up bool) { members().OnLink(l, up) },
 		Metrics:     part[*metrics.Set](v),
-	})
+	}
+	if v.opts.Source == nil {
+		opts.OnFetch = func(_ context.Context, f *wire.Fetch) (*wire.Chunks, error) {
+			head, chunks := part[*deploy.Follower](v).Serve(f.GetDigests())
+			return &wire.Chunks{Head: head, Chunks: chunks}, nil
+		}
+		opts.OnForward = func(ctx context.Context, f *wire.Forward) (*wire.Reply, error) {
+			return v.serveForward(ctx, f), nil
+		}
+	}
+	return peer.New(opts)
 }
 
 // serveForward runs a request that another VM handed over as this VM owns its key.
@@ -136,25 +153,29 @@
 
 func (v *VM) newMembers(do.Injector) (*member.Service, error) {
 	b := part[*board.Board](v)
-	return member.New(member.Options{
+	opts := member.Options{
 		Self:  member.NewMember(v.settings.Name, v.incarnation, v.settings.Zone, v.PeerAddr(), v.EntryAddr()),
 		Seeds: v.settings.Peer.Seeds,
 		Link: func(ctx context.Context, addr string) (*peer.Link, error) {
 			return part[*peer.Peer](v).Link(ctx, addr)
 		},
-		Hints:      part[*store.Client](v).VMs,
-		Reports:    v.health.published,
-		Generation: func() uint64 { return part[*deploy.Follower](v).Generation() },
+		Hints:   v.opts.Hints,
+		Reports: v.health.published,
 		OnReports: func(reports []*wire.Report) {
 			_ = b.Do(context.Background(), func(now time.Time) { v.health.merge(now, reports) })
 		},
-		OnGeneration: func(addr string, generation uint64) {
-			part[*deploy.Follower](v).Offer(addr, generation)
-		},
 		OnChange:   v.logMember,
 		OnReplaced: func() { v.Drain() },
 		Metrics:    part[*metrics.Set](v),
-	}), nil
+	}
+	if v.opts.Source == nil {
+		opts.Hints = part[*store.Client](v).VMs
+		opts.Generation = func() uint64 { return part[*deploy.Follower](v).Generation() }
+		opts.OnGeneration = func(addr string, generation uint64) {
+			part[*deploy.Follower](v).Offer(addr, generation)
+		}
+	}
+	return member.New(opts), nil
 }
 
 func (v *VM) logMember(c member.Change) {
@@ -186,6 +207,24 @@
 	return f, nil
 }
 
+// apply returns the function that puts releases of the source into effect.
+func (v *VM) apply(ctx context.Context) func(*note.Release, caller.Limits) {
+	var once sync.Once
+	return func(rel *note.Release, limits caller.Limits) {
+		v.server.SetLimits(limits)
+		v.applyRelease(ctx, rel)
+		once.Do(func() { close(v.released) })
+	}
+}
+
+// callerLimits returns the limits of the settings.
+func (v *VM) callerLimits() caller.Limits {
+	l := v.settings.Limits
+	return caller.Limits{
+		Header: l.Header, Body: maxBody, Read: l.Read.Std(), Idle: l.Idle.Std(), Conns: l.Conns,
+	}
+}
+
 // applyRelease puts a release into effect: routes first, so that callers of new
 // routes are served, then the health decisions.
 func (v *VM) applyRelease(ctx context.Context, rel *note.Release) {
@@ -222,9 +261,15 @@
 }
 
 func (v *VM) newAdmin(do.Injector) (*operators, error) {
+	publish := v.publish
+	if v.opts.Source != nil {
+		publish = func(context.Context, []byte) (uint64, error) {
+			return 0, fault.New(fault.Invalid, "this fleet takes its configuration from the platform, not from release notes")
+		}
+	}
 	return &operators{admin.New(admin.Options{
 		Token:   v.settings.Admin.Token,
-		Publish: v.publish,
+		Publish: publish,
 		Dump:    func(ctx context.Context) (any, error) { return v.Dump(ctx) },
 		Ready:   v.ready,
 		Gauges:  func(w http.ResponseWriter) { part[*metrics.Set](v).WritePrometheus(w) },
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -23,8 +23,8 @@
 	Leaving     bool                     `json:"leaving"`
 	Keys        int                      `json:"keys"` // In the ledger.
 	Board       BoardDump                `json:"board"`
-	Release     deploy.FollowDump        `json:"release"`
-	Publisher   deploy.PublishStats      `json:"publisher"`
+	Release     *deploy.FollowDump       `json:"release,omitempty"`   // Without a source.
+	Publisher   *deploy.PublishStats     `json:"publisher,omitempty"` // Likewise.
 	Members     member.Dump              `json:"members"`
 	Health      map[string][]ServerState `json:"health"`
 	Traffic     []proxy.ServiceDump      `json:"traffic"`
@@ -44,7 +44,7 @@
 	if err := b.Do(ctx, func(now time.Time) { health = v.health.dump(now) }); err != nil {
 		return nil, err
 	}
-	return &Dump{
+	out := &Dump{
 		Name:        v.settings.Name,
 		Zone:        v.settings.Zone,
 		Incarnation: v.incarnation,
@@ -52,12 +52,15 @@
 		Leaving:     v.callers.leaving.Load(),
 		Keys:        part[*idem.Ledger](v).Len(),
 		Board:       BoardDump{Steps: b.Steps(), Dropped: b.Dropped()},
-		Release:     part[*deploy.Follower](v).Dump(),
-		Publisher:   part[*deploy.Publisher](v).Stats(),
 		Members:     part[*member.Service](v).Dump(),
 		Health:      health,
 		Traffic:     part[*proxy.Handler](v).Dump(),
-	}, nil
+	}
+	if v.opts.Source == nil {
+		out.Release = lo.ToPtr(part[*deploy.Follower](v).Dump())
+		out.Publisher = lo.ToPtr(part[*deploy.Publisher](v).Stats())
+	}
+	return out, nil
 }
 
 // addresses answers which VMs a caller in the given zone should use: nearest zone
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,21 +16,38 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/caller"
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/member"
+	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/peer"
+	"github.com/azuredeal/azuredeal/pool"
 	"github.com/azuredeal/azuredeal/proxy"
+	"github.com/azuredeal/azuredeal/store"
 )
 
 // Options are what settings cannot say.
 type Options struct {
 	Log zerolog.Logger
+	// Dialect is that of callers and backend servers, pool.Own by default.
+	Dialect *pool.Dialect
+	// Source delivers releases until its context ends, in place of the release
+	// notes and claims in the platform of the settings. A VM with a source joins the
+	// fleet once it has a release: a VM without one cannot serve what callers ask of
+	// it.
+	Source func(ctx context.Context, apply func(*note.Release, caller.Limits)) error
+	// Hints reads the list of VMs; by default from the platform of the settings.
+	Hints func(ctx context.Context) ([]store.VM, error)
+	// Incarnation numbers this start of the VM above all earlier ones; 0 takes the
+	// time of day.
+	Incarnation uint64
 }
 
 // VM is one entry VM.
 type VM struct {
 	settings    conf.Settings
+	opts        Options
 	log         zerolog.Logger
 	incarnation uint64
 	listeners   listeners
@@ -38,6 +55,8 @@
 	health      *monitor
 	callers     *callers
 	probes      *probes
+	server      *caller.Server // Of callers without TLS.
+	released    chan struct{}  // Closed with the first release.
 	drain       chan struct{}
 	drainOnce   sync.Once
 }
@@ -55,10 +74,15 @@
 func New(ctx context.Context, settings conf.Settings, opts Options) (*VM, error) {
 	v := &VM{
 		settings:    settings,
+		opts:        opts,
+		released:    make(chan struct{}),
 		log:         opts.Log.With().Str("vm", settings.Name).Logger(),
-		incarnation: newIncarnation(time.Now()),
+		incarnation: opts.Incarnation,
 		drain:       make(chan struct{}),
 	}
+	if v.incarnation == 0 {
+		v.incarnation = newIncarnation(time.Now())
+	}
 	if err := v.listen(); err != nil {
 		return nil, err
 	}
@@ -116,6 +140,29 @@
 // Generation returns the generation of the release in effect, 0 before the first.
 func (v *VM) Generation() uint64 { return part[*proxy.Handler](v).Generation() }
 
+// join links this VM with the others. With a source it waits for the first
+// release.
+func (v *VM) join(ctx context.Context) error {
+	if v.opts.Source != nil {
+		select {
+		case <-v.released:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return part[*peer.Peer](v).Run(ctx) })
+	group.Go(func() error { return part[*member.Service](v).Run(ctx) })
+	return group.Wait()
+}
+
+// Addresses returns the VMs that a caller in the given zone should use, nearest
+// first.
+func (v *VM) Addresses(zone string) []Address { return v.addresses(zone) }
+
+// Ready returns nil when the VM takes callers, and otherwise the reason.
+func (v *VM) Ready() error { return v.ready() }
+
 // Alive returns how many VMs this one holds for alive, itself included.
 func (v *VM) Alive() int { return len(part[*member.Service](v).Snapshot().Alive()) }
 
@@ -130,10 +177,13 @@
 	defer stop()
 	group, work := errgroup.WithContext(work)
 	group.Go(func() error { return part[*board.Board](v).Run(work) })
-	group.Go(func() error { return part[*peer.Peer](v).Run(work) })
-	group.Go(func() error { return part[*member.Service](v).Run(work) })
-	group.Go(func() error { return part[*deploy.Follower](v).Run(work) })
-	group.Go(func() error { return v.watchHolders(work) })
+	group.Go(func() error { return v.join(work) })
+	if v.opts.Source != nil {
+		group.Go(func() error { return v.opts.Source(work, v.apply(work)) })
+	} else {
+		group.Go(func() error { return part[*deploy.Follower](v).Run(work) })
+		group.Go(func() error { return v.watchHolders(work) })
+	}
 	group.Go(func() error { return v.serveOperators(work) })
 	group.Go(func() error {
 		defer stop()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	stdlog "log"
@@ -39,12 +40,14 @@
 	}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetHTTP2(true)
-	server.Protocols.SetUnencryptedHTTP2(true)
 	return server
 }
 
 // serveCallers serves until the graceful shutdown has ended or ctx ends.
 func (v *VM) serveCallers(ctx context.Context) error {
+	if v.settings.Entry.Cert == "" {
+		return v.servePlain(ctx)
+	}
 	requests, cut := context.WithCancel(context.WithoutCancel(ctx))
 	defer cut()
 	server := v.newServer(requests, v.callers.handler())
@@ -56,7 +59,7 @@
 		return err
 	case <-ctx.Done():
 	case <-v.drain:
-		v.leave(ctx, server)
+		v.leave(ctx, server.Shutdown)
 	}
 	// Requests that are still in flight end with an accurate refusal.
 	cut()
@@ -68,14 +71,34 @@
 	return nil
 }
 
-func (v *VM) accept(server *http.Server, listener net.Listener) error {
-	var err error
-	if v.settings.Entry.Cert == "" {
-		err = server.Serve(listener)
-	} else {
-		server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12}
-		err = server.ServeTLS(listener, v.settings.Entry.Cert, v.settings.Entry.Key)
+// servePlain serves callers without TLS, by HTTP/1.1.
+func (v *VM) servePlain(ctx context.Context) error {
+	requests, cut := context.WithCancel(context.WithoutCancel(ctx))
+	defer cut()
+	ended := make(chan error, 1)
+	go func() { ended <- v.server.Serve(requests, v.listeners.entry) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	case <-v.drain:
+		v.server.Leave()
+		v.leave(ctx, func(ctx context.Context) error {
+			_ = v.listeners.entry.Close()
+			return v.server.Shutdown(ctx)
+		})
 	}
+	_ = v.listeners.entry.Close()
+	// Requests that are still in flight end with an accurate refusal.
+	cut()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTime)
+	defer cancel()
+	return errors.Wrap(v.server.Shutdown(last), "close callers' connections")
+}
+
+func (v *VM) accept(server *http.Server, listener net.Listener) error {
+	server.TLSConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	err := server.ServeTLS(listener, v.settings.Entry.Cert, v.settings.Entry.Key)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -84,16 +107,17 @@
 
 // leave is the graceful shutdown. Callers keep an answer with addresses for the
 // TTL, so the VM goes on serving that long after it has announced that it leaves.
-func (v *VM) leave(ctx context.Context, server *http.Server) {
-	v.log.Info().Stringer("ttl", v.settings.Drain.TTL.Std()).Msg("leaving")
+func (v *VM) leave(ctx context.Context, shutdown func(context.Context) error) {
+	stay := cmp.Or(v.settings.Drain.Stay, v.settings.Drain.TTL).Std()
+	v.log.Info().Stringer("stay", stay).Msg("leaving")
 	v.callers.leaving.Store(true)
 	part[*member.Service](v).Leave()
-	if !sleep.For(ctx, v.settings.Drain.TTL.Std()) {
+	if !sleep.For(ctx, stay) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, v.settings.Drain.Deadline.Std())
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := shutdown(ctx)
 	v.settle(ctx)
 	v.log.Info().Err(err).Msg("callers' connections ended")
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -28,6 +28,8 @@
 	NoRoute
 	// BadRequest: the request is malformed.
 	BadRequest
+	// HeaderTooLarge: the request header exceeds the limit.
+	HeaderTooLarge
 	// BodyTooLarge: the request body exceeds the limit of its service.
 	BodyTooLarge
 	// BodyTimeout: the caller sent its body too slowly.
@@ -136,6 +138,7 @@
 	Stopping:       {http.StatusServiceUnavailable, No, true, "this VM is shutting down"},
 	NoRoute:        {http.StatusNotFound, No, false, "no route matches the request"},
 	BadRequest:     {http.StatusBadRequest, No, false, "the request is malformed"},
+	HeaderTooLarge: {http.StatusRequestHeaderFieldsTooLarge, No, false, "the request header is too large"},
 	BodyTooLarge:   {http.StatusRequestEntityTooLarge, No, false, "the request body is too large"},
 	BodyTimeout:    {http.StatusRequestTimeout, No, true, "the request body arrived too slowly"},
 	UnknownAccount: {http.StatusUnauthorized, No, false, "the account token is unknown"},
@@ -143,14 +146,14 @@
 	QueueFull:      {http.StatusServiceUnavailable, No, true, "the queue of the service is full"},
 	DeadlineShort:  {http.StatusServiceUnavailable, No, true, "the request cannot end before its deadline"},
 	NoServer:       {http.StatusServiceUnavailable, No, true, "no backend server is usable"},
-	Unreachable:    {http.StatusBadGateway, No, true, "no backend server could be reached"},
+	Unreachable:    {http.StatusServiceUnavailable, No, true, "no backend server could be reached"},
 	ServerRefused:  {http.StatusServiceUnavailable, No, true, "the backend server refused before starting"},
 	KeyMissing:     {http.StatusPreconditionRequired, No, false, "the route needs an Idempotency-Key"},
 	KeyInvalid:     {http.StatusBadRequest, No, false, "the Idempotency-Key is malformed"},
 	KeyReused:      {http.StatusUnprocessableEntity, No, false, "the Idempotency-Key was used with another request"},
 	KeyExpired:     {http.StatusGone, Unknown, false, "the Idempotency-Key has expired"},
 	OwnerLost:      {http.StatusBadGateway, Unknown, true, "the VM that owns the Idempotency-Key cannot be asked"},
-	ClaimFailed:    {http.StatusServiceUnavailable, Unknown, true, "the owner of the Idempotency-Key cannot be confirmed"},
+	ClaimFailed:    {http.StatusBadGateway, Unknown, true, "the owner of the Idempotency-Key cannot be confirmed"},
 	AnswerDropped:  {http.StatusConflict, Yes, false, "the request ran and its answer is no longer kept"},
 	Interrupted:    {http.StatusBadGateway, Unknown, true, "the connection to the backend server failed"},
 	Timeout:        {http.StatusGatewayTimeout, Unknown, true, "the deadline passed"},
--- a/note/apply.go
+++ b/note/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"strings"
@@ -97,8 +98,10 @@
 // checkServices adds routes of the note whose service does not exist after it.
 func checkServices(p *Problems, next *Release, routes delta[Route]) {
 	for i, t := range routes.items {
-		if _, ok := next.services.find(t.Service); !ok {
-			p.Add(routes.paths[i]+".service", t.Service, "a service that exists after the note")
+		for name := range t.uses() {
+			if _, ok := next.services.find(name); !ok {
+				p.Add(routes.paths[i]+".service", name, "a service that exists after the note")
+			}
 		}
 	}
 }
@@ -121,8 +124,10 @@
 		inNote[t.Name] = true
 	}
 	for t := range next.routes.all() {
-		if by, ok := users[t.Service]; ok && !inNote[t.Name] {
-			users[t.Service] = append(by, t.Name)
+		for name := range t.uses() {
+			if by, ok := users[name]; ok && !inNote[t.Name] {
+				users[name] = append(by, t.Name)
+			}
 		}
 	}
 	for i, name := range withdrawn {
@@ -132,6 +137,21 @@
 	}
 }
 
+// uses yields the services that the route leads to.
+func (t *Route) uses() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		if len(t.Split) == 0 {
+			yield(t.Service)
+			return
+		}
+		for _, part := range t.Split {
+			if !yield(part.Service) {
+				return
+			}
+		}
+	}
+}
+
 // some lists the first few names and counts the others.
 func some(names []string) string {
 	slices.Sort(names)
@@ -177,6 +197,9 @@
 }
 
 func sharedMethod(a, b *Route) string {
+	if len(a.Methods) == 0 || len(b.Methods) == 0 {
+		return anyMethod
+	}
 	for _, m := range a.Methods {
 		if slices.Contains(b.Methods, m) {
 			return m
@@ -185,6 +208,9 @@
 	return ""
 }
 
+// anyMethod stands for the methods of a route that names none.
+const anyMethod = "any method"
+
 // checkDigests adds accounts of the note whose token another account has.
 func checkDigests(p *Problems, next *Release, accounts delta[Account]) {
 	if len(accounts.items) == 0 {
--- a/note/check.go
+++ b/note/check.go
@@ -16,6 +16,10 @@
 	maxHost     = 253
 	maxPath     = 512
 	maxServers  = 2000
+	maxParts    = 16
+	maxWeight   = 1_000_000
+	maxAttempts = 16
+	maxID       = 128
 	maxSlots    = 10_000
 	maxConns    = 1_000_000
 	maxQueue    = 100_000
@@ -36,7 +40,7 @@
 	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
 	profiles = []string{ProfileFast, ProfileSteady}
-	echoes   = []string{EchoRequired, EchoChecked}
+	echoes   = []string{EchoRequired, EchoChecked, EchoOpen}
 	keys     = []string{KeyRequired, KeyOptional}
 	classes  = []string{ClassUrgent, ClassNormal, ClassBulk}
 	methods  = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
@@ -85,6 +89,7 @@
 	inside(p, path+".limits.body", s.Limits.Body, 1, maxBody)
 	inside(p, path+".limits.answer", s.Limits.Answer, 1, maxAnswer)
 	inside(p, path+".limits.retry", s.Limits.Retry, 0, 1)
+	inside(p, path+".limits.burst", s.Limits.Burst, 0, maxBurst)
 	checkSpan(p, path+".deadline", s.Deadline, minDeadline, maxDeadline)
 	checkPath(p, path+".probe.path", s.Probe.Path)
 	checkSpan(p, path+".probe.period", s.Probe.Period, minPeriod, maxPeriod)
@@ -107,6 +112,9 @@
 		checkName(p, at+".zone", v.Zone)
 		inside(p, at+".slots", v.Slots, 1, maxSlots)
 		inside(p, at+".conns", v.Conns, 1, maxConns)
+		if len(v.ID) > maxID {
+			p.Add(at+".id", v.ID, "at most %d bytes", maxID)
+		}
 	}
 }
 
@@ -149,12 +157,35 @@
 		checkSpan(p, path+".deadline", t.Deadline, minDeadline, maxDeadline)
 	}
 	checkOneOf(p, path+".class", t.Class, classes)
+	inside(p, path+".attempts", t.Attempts, 0, maxAttempts)
+	t.checkSplit(p, path)
 }
 
-func (t Route) checkMethods(p *Problems, path string) {
-	if len(t.Methods) == 0 {
-		p.Add(path, "no methods", "at least one of %s", strings.Join(methods, ", "))
+func (t Route) checkSplit(p *Problems, path string) {
+	if (t.Service == "") == (len(t.Split) == 0) {
+		p.Add(path+".split", t.Service, "either a service or a split")
+	}
+	if len(t.Split) > maxParts {
+		p.Add(path+".split", len(t.Split), "at most %d parts", maxParts)
 	}
+	for i, part := range t.Split {
+		inside(p, fmt.Sprintf("%s.split[%d].weight", path, i), part.Weight, 0, maxWeight)
+	}
+	if len(t.Split) > 0 && t.weights() == 0 {
+		p.Add(path+".split", 0, "a weight above 0")
+	}
+}
+
+// weights returns the sum of the weights of the split.
+func (t Route) weights() int {
+	sum := 0
+	for _, part := range t.Split {
+		sum += part.Weight
+	}
+	return sum
+}
+
+func (t Route) checkMethods(p *Problems, path string) {
 	for i, m := range t.Methods {
 		at := fmt.Sprintf("%s[%d]", path, i)
 		checkOneOf(p, at, m, methods)
--- a/note/defaults.go
+++ b/note/defaults.go
@@ -12,6 +12,7 @@
 	defaultConns    = 400 // The same.
 	defaultBias     = 0.5
 	defaultRetry    = 0.1 // Retries at most 10% of requests.
+	defaultBurst    = 10
 	defaultQueue    = 64
 	defaultBody     = 1 << 20  // Bytes.
 	defaultAnswer   = 64 << 20 // Bytes; archive pulls are long.
@@ -62,6 +63,7 @@
 	s.Floor = or(s.Floor, (s.staying()+1)/2)
 	s.Detection.Profile = or(s.Detection.Profile, ProfileSteady)
 	s.Limits.Queue = or(s.Limits.Queue, defaultQueue)
+	s.Limits.Burst = or(s.Limits.Burst, defaultBurst)
 	s.Limits.Body = or(s.Limits.Body, defaultBody)
 	s.Limits.Answer = or(s.Limits.Answer, defaultAnswer)
 	s.Deadline = or(s.Deadline, defaultDeadline)
--- a/note/release.go
+++ b/note/release.go
@@ -38,6 +38,9 @@
 	Slots   int    `json:"slots"` // Requests that it runs at once.
 	Conns   int    `json:"conns"` // Connections that it accepts.
 	Leaving bool   `json:"leaving,omitempty"`
+	// ID names the process behind Addr. Where it is set, each request carries it, so
+	// that a process of another service that took over the address refuses it.
+	ID string `json:"id,omitempty"`
 }
 
 // Profiles of Detection.
@@ -60,6 +63,7 @@
 	Body   int64   `json:"body"`   // Request body, in bytes.
 	Answer int64   `json:"answer"` // Response body, in bytes.
 	Retry  float64 `json:"retry"`  // Retries and hedges as a share of requests, 0 to 1.
+	Burst  int     `json:"burst"`  // Retries and hedges of one VM beyond that share.
 	Hedge  bool    `json:"hedge"`
 }
 
@@ -73,6 +77,9 @@
 const (
 	EchoRequired = "required" // An answer without the request id is a mismatch.
 	EchoChecked  = "checked"  // The id is checked where the answer carries one.
+	// EchoOpen is EchoChecked for servers whose answers may have neither length nor
+	// chunked framing; such an answer is whole when its connection is closed in order.
+	EchoOpen = "open"
 )
 
 // Service is a group of backend servers with its rules.
@@ -100,17 +107,27 @@
 	ClassBulk   = "bulk"
 )
 
-// Route maps requests to a service.
+// Part is the share of a route's requests that goes to one service.
+type Part struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"` // Relative to the other parts.
+}
+
+// Route maps requests to a service, or to several by weight.
 type Route struct {
 	Name       string   `json:"name"`
-	Service    string   `json:"service"`
-	Host       string   `json:"host,omitempty"` // Empty matches any host.
-	Path       string   `json:"path"`           // Exact, or a prefix when it ends in "/*".
-	Methods    []string `json:"methods"`
+	Service    string   `json:"service,omitempty"` // Empty when Split is set.
+	Split      []Part   `json:"split,omitempty"`
+	Host       string   `json:"host,omitempty"`    // Empty matches any host.
+	Path       string   `json:"path"`              // Exact, or a prefix when it ends in "/*".
+	Methods    []string `json:"methods,omitempty"` // Empty takes any method.
 	Idempotent bool     `json:"idempotent"`
 	Key        string   `json:"key,omitempty"`      // Only for a non-idempotent route.
 	Deadline   Duration `json:"deadline,omitempty"` // 0 takes the service's.
 	Class      string   `json:"class"`
+	// Attempts is how many backend servers one request may be sent to; 0 takes the
+	// most that the request path allows.
+	Attempts int `json:"attempts,omitempty"`
 }
 
 // Account is one caller account.
--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -27,7 +27,7 @@
 	Header http.Header // Do changes the map, but not its values.
 	Body   []byte
 	ID     string // Request id of this exchange; the response must carry it.
-	Echo   string // note.EchoRequired or note.EchoChecked.
+	Echo   string // note.EchoRequired, note.EchoChecked or note.EchoOpen.
 	// Fresh demands a new connection. A kept one may be closed by the backend
 	// server at the same moment, which leaves unknown whether the request ran.
 	Fresh bool
@@ -54,6 +54,7 @@
 	outside time.Duration // Time in which nobody read the response.
 	waiter  waiter        // In the list of the pool while the exchange waits.
 	reuse   bool
+	stray   bool // A response to another request came before this one.
 	ended   bool
 }
 
@@ -139,7 +140,11 @@
 		header = http.Header{}
 	}
 	removeHopByHop(header)
-	header[fault.HeaderID] = []string{x.req.ID}
+	dialect := x.pool.opts.Dialect
+	header[dialect.ID] = []string{x.req.ID}
+	if dialect.Expect != "" && x.pool.opts.Server != "" {
+		header[dialect.Expect] = []string{x.pool.opts.Server}
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = noAgent
 	}
@@ -176,10 +181,11 @@
 		return nil, fault.New(fault.Mismatch, "response carries another request id")
 	}
 	x.reuse = !head.Close && x.written()
-	if outcome, ok := refusal(head); ok {
+	x.link.promised(head.Header, time.Now())
+	if outcome, ok := x.pool.opts.Dialect.Refused(head.StatusCode, head.Header); ok {
 		return nil, x.refused(head, outcome)
 	}
-	if unverifiable(x.req.Method, head) {
+	if x.req.Echo != note.EchoOpen && unverifiable(x.req.Method, head) {
 		x.end(board.Truncated)
 		return nil, fault.New(fault.Truncated, "response has neither length nor chunked framing")
 	}
@@ -193,7 +199,8 @@
 	return r, nil
 }
 
-// head reads response heads until a final one.
+// head reads response heads until a final one. On a kept connection it passes
+// over the late response to an earlier request.
 func (x *exchange) head() (*http.Response, error) {
 	for range interimMost {
 		head, err := http.ReadResponse(x.link.reader, x.msg)
@@ -204,12 +211,27 @@
 			return nil, errors.New("backend server switched protocols")
 		}
 		if head.StatusCode >= http.StatusOK {
-			return head, nil
+			if !x.link.reused || x.matches(head.Header) || !x.skip(head) {
+				return head, nil
+			}
 		}
 	}
 	return nil, errors.New("too many interim responses")
 }
 
+const skipMost = 64 << 10 // Bytes of a late response that are passed over.
+
+// skip passes over a response to an earlier request. It reports false when the
+// end of that response cannot be told.
+func (x *exchange) skip(head *http.Response) bool {
+	if head.Close || head.ContentLength < 0 || head.ContentLength > skipMost {
+		return false
+	}
+	x.stray = true
+	_, err := io.Copy(io.Discard, head.Body)
+	return err == nil
+}
+
 // lost ends an exchange whose response cannot be read.
 func (x *exchange) lost(err error) error {
 	x.link.close()
@@ -245,7 +267,7 @@
 
 // matches checks the request id of the response.
 func (x *exchange) matches(h http.Header) bool {
-	ids := h[fault.HeaderID]
+	ids := h[x.pool.opts.Dialect.ID]
 	for _, id := range ids {
 		if id != x.req.ID {
 			return false
@@ -266,23 +288,6 @@
 	return !x.link.failed.Load()
 }
 
-// refusal returns the outcome of a response in which the backend server refused
-// before starting.
-func refusal(head *http.Response) (board.Outcome, bool) {
-	if head.StatusCode != http.StatusServiceUnavailable {
-		return 0, false
-	}
-	switch head.Header.Get(HeaderRefused) {
-	case "shed":
-		return board.Shed, true
-	case "cold":
-		return board.Cold, true
-	case "draining":
-		return board.Draining, true
-	}
-	return 0, false
-}
-
 // refused ends an exchange with a refusal. Its connection is kept when the body
 // is already here: waiting for it would delay the next attempt.
 func (x *exchange) refused(head *http.Response, outcome board.Outcome) error {
@@ -293,7 +298,7 @@
 		_, _ = io.Copy(io.Discard, head.Body)
 	}
 	x.end(outcome)
-	return fault.New(fault.ServerRefused, "%s by %s", head.Header.Get(HeaderRefused), x.pool.addr)
+	return fault.New(fault.ServerRefused, "%s by %s", outcome, x.pool.addr)
 }
 
 // unverifiable reports whether the end of the body cannot be told from a
@@ -342,7 +347,7 @@
 	}
 	// A connection with bytes after the response cannot be told from one that
 	// carries the response to another request.
-	if x.reuse && x.stop() && x.link.reader.Buffered() == 0 {
+	if x.reuse && !x.stray && x.stop() && x.link.reader.Buffered() == 0 {
 		x.pool.keep(x.link)
 		return
 	}
--- a/pool/link.go
+++ b/pool/link.go
@@ -7,6 +7,8 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,6 +28,8 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	since  time.Time // Idle since.
+	until  time.Time // When the backend server may close it; zero when not said.
+	reused bool      // An exchange has ended on it.
 	room   int64     // Bytes that may still be read, while a header is read.
 	sent   atomic.Int64
 	failed atomic.Bool // A write failed.
@@ -67,6 +71,29 @@
 	return l.writer.Flush()
 }
 
+// idleMargin is how long before the stated end of a kept connection it is no
+// longer used: a request that meets the close has an unknown outcome. The stated
+// time is in whole seconds, cut off.
+const idleMargin = 500 * time.Millisecond
+
+// promised notes until when the backend server keeps the connection open. A time
+// of 0 s means less than one second.
+func (l *link) promised(h http.Header, now time.Time) {
+	l.until = time.Time{}
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.ParseUint(strings.TrimSpace(value), 10, 31); err == nil {
+			l.until = now.Add(time.Duration(seconds)*time.Second - idleMargin)
+		}
+	}
+}
+
+// expired reports whether the backend server may close the connection about now.
+func (l *link) expired(now time.Time) bool { return !l.until.IsZero() && now.After(l.until) }
+
 func (l *link) close() { _ = l.conn.Close() }
 
 // limit bounds what may be read until unlimit. The buffer may read ahead of the
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -30,6 +30,10 @@
 	Idle    time.Duration // An unused connection is closed after it, 30 s by default.
 	Connect time.Duration // Time limit to open a connection, 500 ms by default.
 	Header  int64         // Response header in bytes at most, 64 KiB by default.
+	Dialect *Dialect      // Own by default.
+	// Server is the id of the process at the address, for Dialect.Expect; empty when
+	// it is not known.
+	Server string
 	// Dial opens a connection; net.Dialer by default.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Sample takes the outcome of each exchange that reached for the server.
@@ -67,6 +71,9 @@
 	if opts.Dial == nil {
 		opts.Dial = new(net.Dialer).DialContext
 	}
+	if opts.Dialect == nil {
+		opts.Dialect = Own()
+	}
 	if opts.Sample == nil {
 		opts.Sample = func(board.Sample) {}
 	}
@@ -119,7 +126,7 @@
 		if l == nil {
 			break
 		}
-		if l.alive() {
+		if !l.expired(time.Now()) && l.alive() {
 			return l, nil
 		}
 		p.drop(l)
@@ -192,7 +199,7 @@
 		p.open--
 		return
 	}
-	l.since = time.Now()
+	l.since, l.reused = time.Now(), true
 	p.idle = append(p.idle, l)
 	if p.sweeper == nil {
 		p.sweeper = time.AfterFunc(p.opts.Idle, p.sweep)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	attemptsMost = 4 // Of one request, hedges included.
+	attemptsMost = 4 // Of one request, hedges included, unless its route says otherwise.
 	limitTries   = 4 // Servers at their limits that one choice passes over.
 )
 
@@ -33,7 +33,7 @@
 	c.service.budget.Earn()
 	d := &dispatch{
 		call: c, ctx: ctx, whole: whole, stem: c.handler.newID(),
-		results: make(chan result, attemptsMost),
+		results: make(chan result, c.route.attempts),
 	}
 	d.tried, d.begun = d.room.tried[:0], d.room.begun[:0]
 	if c.repeatable && c.service.note.Limits.Hedge {
@@ -225,7 +225,7 @@
 // launch starts an attempt at a server that was not tried, or with same set at
 // any server when all were tried.
 func (d *dispatch) launch(same bool) bool {
-	if len(d.tried) >= attemptsMost {
+	if len(d.tried) >= d.call.route.attempts {
 		return false
 	}
 	v, counted := d.next(d.tried)
@@ -292,6 +292,9 @@
 func (d *dispatch) attempt(ctx context.Context, p *reply) error {
 	c := d.call
 	id := d.stem + "-" + strconv.Itoa(p.index)
+	if c.handler.opts.Dialect.Keep {
+		id = c.id
+	}
 	sent := false
 	req := &pool.Request{
 		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
@@ -305,7 +308,7 @@
 		},
 	}
 	left := max(0, time.Until(c.deadline))
-	req.Header[HeaderDeadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
+	req.Header[c.handler.opts.Dialect.Deadline] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	start := time.Now()
 	resp, err := p.server.pool.Do(ctx, req)
 	if err == nil {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -75,9 +75,10 @@
 	if route == nil {
 		return nil, fault.New(fault.NoRoute, "no route for %s", method)
 	}
-	s := st.services[route.service]
+	name := route.next()
+	s := st.services[name]
 	if s == nil {
-		return nil, fault.New(fault.NoRoute, "route %s has no service", route.name)
+		return nil, fault.New(fault.NoRoute, "route %s leads to no service %q", route.name, name)
 	}
 	return &call{
 		handler: h, service: s, route: route, repeatable: route.idempotent,
@@ -135,10 +136,10 @@
 
 // setKey takes the key of a request that must not run twice.
 func (c *call) setKey() error {
-	if c.repeatable {
+	if c.repeatable || c.handler.opts.Dialect.Key == "" {
 		return nil
 	}
-	keys := c.header[HeaderKey]
+	keys := c.header[c.handler.opts.Dialect.Key]
 	if len(keys) > 1 {
 		return fault.New(fault.KeyInvalid, "%d keys", len(keys))
 	}
@@ -157,10 +158,10 @@
 // setDeadline takes the shorter of the route's time and the caller's.
 func (c *call) setDeadline(start time.Time) error {
 	left := c.service.deadline(c.route)
-	if text := c.header.Get(HeaderDeadline); text != "" {
+	if text := c.header.Get(c.handler.opts.Dialect.Deadline); text != "" {
 		ms, err := strconv.ParseUint(text, 10, 32)
 		if err != nil {
-			return fault.Wrap(fault.BadRequest, err, HeaderDeadline)
+			return fault.Wrap(fault.BadRequest, err, "deadline")
 		}
 		left = min(left, time.Duration(ms)*time.Millisecond)
 	}
@@ -270,10 +271,10 @@
 const idLength = 128 // Longest request id of a caller that is repeated to it.
 
 // callerID returns the caller's own request id when it has a sound one, so that
-// the caller can match its response, or a new one. Attempts never use it:
-// callers may repeat an id.
+// the caller can match its response, or a new one. Attempts use it only where
+// the dialect says so: elsewhere callers may repeat an id.
 func (h *Handler) callerID(r *http.Request) string {
-	id := r.Header.Get(fault.HeaderID)
+	id := r.Header.Get(h.opts.Dialect.ID)
 	if id == "" || len(id) > idLength {
 		return h.newID()
 	}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -22,13 +22,13 @@
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pick"
+	"github.com/azuredeal/azuredeal/pool"
 )
 
 // Header names of requests.
 const (
-	HeaderAccount  = "Azuredeal-Account"  // Token of the caller's account.
-	HeaderDeadline = "Azuredeal-Deadline" // Milliseconds left.
-	HeaderKey      = "Idempotency-Key"
+	HeaderAccount = "Azuredeal-Account" // Token of the caller's account.
+	HeaderKey     = pool.HeaderKey
 )
 
 // Defaults of Options.
@@ -41,8 +41,9 @@
 
 // Options configures a Handler. Zero values take defaults.
 type Options struct {
-	Zone string // Availability zone of this VM.
-	Seed uint64 // Fixes the choice of backend servers.
+	Dialect *pool.Dialect // pool.Own by default.
+	Zone    string        // Availability zone of this VM.
+	Seed    uint64        // Fixes the choice of backend servers.
 	// AnonymousRate, in requests a second, and AnonymousBurst bound the requests
 	// without an account, taken together. A rate of 0 takes the defaults, 50 and 100.
 	AnonymousRate  float64
@@ -100,6 +101,9 @@
 		opts.BodyTime = defaultBodyTime
 	}
 	opts.BodyRoom = orDefault(opts.BodyRoom, defaultBodyRoom)
+	if opts.Dialect == nil {
+		opts.Dialect = pool.Own()
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
@@ -263,7 +267,7 @@
 	switch {
 	case err == nil:
 		err = h.answer(w, r, c)
-	case mayHaveRun(r, err):
+	case h.opts.Dialect.Key != "" && mayHaveRun(r, err):
 		refuse = fault.WriteUnsure
 	}
 	if err == nil {
--- a/proxy/reply.go
+++ b/proxy/reply.go
@@ -115,7 +115,7 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(c.deadline.Add(writeTime))
-	setHeader(w.Header(), p.header, c.id)
+	setHeader(w.Header(), p.header, c)
 	w.WriteHeader(p.status)
 	if err := p.stream(w, rc); err != nil {
 		c.service.count.aborted.Inc()
@@ -160,7 +160,7 @@
 func writeWhole(w http.ResponseWriter, c *call, status int, header http.Header, body []byte) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(time.Now().Add(writeTime))
-	setHeader(w.Header(), header, c.id)
+	setHeader(w.Header(), header, c)
 	setLength(w.Header(), c.method, status, len(body))
 	w.WriteHeader(status)
 	if _, err := w.Write(body); err == nil {
@@ -176,14 +176,14 @@
 	}
 }
 
-func setHeader(out, in http.Header, id string) {
+func setHeader(out, in http.Header, c *call) {
 	for name, values := range in {
 		out[name] = values
 	}
 	if in["Content-Type"] == nil {
 		out["Content-Type"] = nil // Otherwise the library guesses one.
 	}
-	out.Set(fault.HeaderID, id)
+	out[c.handler.opts.Dialect.ID] = []string{c.id}
 }
 
 // setLength announces the length of a whole body.
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	budgetBurst    = 10
+	defaultBurst   = 10
 	defaultQueue   = 64 // Requests that wait.
 	defaultBody    = 1 << 20
 	defaultAnswer  = 64 << 20
@@ -87,8 +87,8 @@
 		// A new queue would not count the requests that run.
 		s.queue.SetDepth(depth)
 	}
-	if old == nil || old.note.Limits.Retry != n.Limits.Retry {
-		s.budget = limit.NewBudget(n.Limits.Retry, budgetBurst)
+	if old == nil || old.note.Limits.Retry != n.Limits.Retry || old.note.Limits.Burst != n.Limits.Burst {
+		s.budget = limit.NewBudget(n.Limits.Retry, orDefault(n.Limits.Burst, defaultBurst))
 	}
 }
 
@@ -96,6 +96,9 @@
 	if old != nil && old.note == n {
 		return old
 	}
+	if old != nil && old.note.ID != n.ID {
+		old = nil // Another process has the address.
+	}
 	v := &server{note: n, target: pick.NewTarget(n.Addr, n.Zone, n.Slots)}
 	if old != nil && old.note.Slots == n.Slots {
 		v.limit = old.limit
@@ -115,6 +118,8 @@
 	v.pool = pool.New(n.Addr, pool.Options{
 		Service: name,
 		Conns:   h.conns(n.Conns),
+		Dialect: h.opts.Dialect,
+		Server:  n.ID,
 		Idle:    h.opts.Idle,
 		Connect: h.opts.Connect,
 		Dial:    h.opts.Dial,
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/azuredeal/azuredeal/limit"
@@ -13,26 +15,88 @@
 type Route struct {
 	name       string
 	service    string
+	split      *split // Nil when all requests go to one service.
 	methods    []string
 	idempotent bool
 	keyed      bool // An Idempotency-Key is required.
 	deadline   time.Duration
 	class      limit.Class
+	attempts   int // Backend servers that one request may be sent to.
 }
 
 // Name returns the name of the route.
 func (r *Route) Name() string { return r.name }
 
-// Service returns the name of the service that the route leads to.
+// Service returns the name of the service that the route leads to; empty when
+// its requests are split among several.
 func (r *Route) Service() string { return r.service }
 
+// next returns the service for one more request.
+func (r *Route) next() string {
+	if r.split == nil {
+		return r.service
+	}
+	return r.split.next()
+}
+
+// split deals requests out among services by weight. It is a smooth weighted
+// round robin: any run of requests is split within one request of the weights,
+// where drawing at random would be off by several percent over a few hundred.
+type split struct {
+	mu    sync.Mutex
+	parts []note.Part
+	total int
+	owed  []int // What each part is behind, in weights.
+}
+
+const splitPhases = 100 // Places at which a split may begin.
+
+func newSplit(parts []note.Part) *split {
+	if len(parts) == 0 {
+		return nil
+	}
+	s := &split{parts: parts, owed: make([]int, len(parts))}
+	for _, p := range parts {
+		s.total += p.Weight
+	}
+	// VMs that begin at the same place would send their first requests to the same
+	// part, and each VM sees only a few requests of a route.
+	for range rand.IntN(min(s.total, splitPhases) + 1) {
+		s.next()
+	}
+	return s
+}
+
+func (s *split) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best := -1
+	for i, p := range s.parts {
+		s.owed[i] += p.Weight
+		if p.Weight > 0 && (best < 0 || s.owed[i] > s.owed[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	s.owed[best] -= s.total
+	return s.parts[best].Service
+}
+
 // Idempotent reports whether requests may run more than once.
 func (r *Route) Idempotent() bool { return r.idempotent }
 
 func newRoute(n *note.Route) *Route {
+	attempts := n.Attempts
+	if attempts <= 0 {
+		attempts = attemptsMost
+	}
 	return &Route{
 		name:       n.Name,
 		service:    n.Service,
+		split:      newSplit(n.Split),
+		attempts:   attempts,
 		methods:    n.Methods,
 		idempotent: n.Idempotent,
 		keyed:      !n.Idempotent && n.Key != note.KeyOptional,
@@ -142,7 +206,7 @@
 
 func withMethod(routes []*Route, method string) *Route {
 	for _, r := range routes {
-		if slices.Contains(r.methods, method) {
+		if len(r.methods) == 0 || slices.Contains(r.methods, method) {
 			return r
 		}
 	}
