--- a/conf/conf.go
+++ b/conf/conf.go
@@ -37,6 +37,7 @@
 	Cert   string   `json:"cert"`
 	Key    string   `json:"key"`
 	Seeds  []string `json:"seeds"` // Peer addresses to try first.
+	Mesh   int      `json:"mesh"`  // In fleets of up to so many VMs each links to all others.
 }
 
 // Forms of a platform.
@@ -121,6 +122,7 @@
 			Floor:  0.5,
 			Return: note.Duration(2 * time.Second),
 		},
+		Peer: Peer{Mesh: 24},
 		Drain: Drain{
 			TTL:      note.Duration(30 * time.Second),
 			Deadline: note.Duration(time.Minute),
@@ -156,6 +158,7 @@
 	maxHeader = 1 << 20
 	maxConns  = 1 << 20
 	maxName   = 63
+	maxMesh   = 64 // Links that a VM takes.
 )
 
 func (s *Settings) check(ps *strict.Problems) {
@@ -245,6 +248,7 @@
 }
 
 func (s *Settings) checkLimits(ps *strict.Problems) {
+	checkRange(ps, "peer.mesh", s.Peer.Mesh, 0, maxMesh)
 	checkRange(ps, "limits.header", s.Limits.Header, minHeader, maxHeader)
 	checkRange(ps, "limits.conns", s.Limits.Conns, 1, maxConns)
 	checkSpan(ps, "limits.read", s.Limits.Read)
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -62,6 +62,7 @@
 	do.Provide(i, v.newAdmin)
 	traffic := part[*proxy.Handler](v)
 	v.health.flights, v.health.apply = traffic.Flights, traffic.SetWeights
+	v.health.tell = func(events []*wire.Event, urgent bool) { part[*member.Service](v).Tell(events, urgent) }
 	v.callers = v.newCallers()
 	handler := v.callers.handler()
 	if v.opts.Source != nil {
@@ -164,6 +165,10 @@
 		OnReports: func(reports []*wire.Report) {
 			_ = b.Do(context.Background(), func(now time.Time) { v.health.merge(now, reports) })
 		},
+		OnEvents: func(events []*wire.Event) {
+			_ = b.Do(context.Background(), func(now time.Time) { v.health.hear(now, events) })
+		},
+		Mesh:       v.settings.Peer.Mesh,
 		OnChange:   v.logMember,
 		OnReplaced: func() { v.Drain() },
 		Metrics:    part[*metrics.Set](v),
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -37,6 +37,8 @@
 	watched  map[string]*watched
 	steps    int
 	latest   atomic.Pointer[[]*wire.Report] // For heartbeats, which run elsewhere.
+	// tell sends events to other VMs, at once when urgent.
+	tell func(events []*wire.Event, urgent bool)
 }
 
 // idleSteps is how many steps pass between decisions on a service that has no new
@@ -49,8 +51,15 @@
 // the interval of heartbeats.
 const reportSteps = 5
 
+// maxEvent bounds the exchanges of one event that count, so that a faulty peer
+// cannot outweigh the others.
+const maxEvent = 64
+
 func newMonitor(log zerolog.Logger, counters *metrics.Set, origin uint64) *monitor {
-	return &monitor{log: log, counters: counters, origin: origin, watched: map[string]*watched{}}
+	return &monitor{
+		tell: func([]*wire.Event, bool) {},
+		log:  log, counters: counters, origin: origin, watched: map[string]*watched{},
+	}
 }
 
 func (m *monitor) controller() board.Controller {
@@ -73,7 +82,7 @@
 		w.settled = false
 		w.group.SetPolicy(health.NewPolicy(s.Detection))
 		w.group.Set(now, lo.Map(s.Servers, func(b note.Server, _ int) health.Server {
-			return health.NewServer(b.Addr, b.Zone, b.Leaving)
+			return health.NewServer(b.Addr, b.Zone, b.Leaving).WithID(b.ID)
 		}), s.Floor)
 		next[s.Name] = w
 		m.order = append(m.order, s.Name)
@@ -83,9 +92,47 @@
 }
 
 func (m *monitor) sample(now time.Time, s board.Sample) {
+	m.log.Debug().Str("service", s.Service).Str("server", s.Server).Stringer("outcome", s.Outcome).
+		Dur("took", s.Took).Time("start", s.Start).Msg("attempt ended")
 	if w := m.watched[s.Service]; w != nil {
 		w.group.Observe(now, s)
 		w.fresh = true
+		if s.Outcome != board.Success {
+			m.spread(now, s.Service, w)
+		}
+	}
+}
+
+// spread decides at once on a service with evidence against a server, and tells
+// other VMs.
+func (m *monitor) spread(now time.Time, name string, w *watched) {
+	m.decide(now, name, w)
+	if events, urgent := w.group.Events(); len(events) > 0 {
+		m.tell(wireEvents(events), urgent)
+	}
+}
+
+func wireEvents(events []health.Event) []*wire.Event {
+	return lo.Map(events, func(e health.Event, _ int) *wire.Event {
+		return &wire.Event{Server: e.Server(), Good: uint32(e.Good()), Bad: uint32(e.Bad())}
+	})
+}
+
+// hear takes in events of another VM.
+func (m *monitor) hear(now time.Time, events []*wire.Event) {
+	for _, e := range events {
+		event := health.NewEvent(e.GetServer(), int(min(e.GetGood(), maxEvent)), int(min(e.GetBad(), maxEvent)))
+		for _, name := range m.order {
+			w := m.watched[name]
+			if !w.group.Hear(now, event) {
+				continue
+			}
+			w.fresh = true
+			if event.Bad() > 0 {
+				m.decide(now, name, w)
+			}
+			break
+		}
 	}
 }
 
@@ -110,6 +157,11 @@
 		m.decide(now, name, w)
 	}
 	if m.steps++; m.steps%reportSteps == 0 {
+		for _, name := range m.order {
+			if events, urgent := m.watched[name].group.Events(); len(events) > 0 {
+				m.tell(wireEvents(events), urgent)
+			}
+		}
 		reports := m.reports(now)
 		m.latest.Store(&reports)
 	}
--- a/health/decide.go
+++ b/health/decide.go
@@ -74,6 +74,12 @@
 // reused by the next call.
 func (g *Group) Decide(now time.Time) []Decision {
 	g.refresh(now)
+	if g.policy.switching {
+		for _, r := range g.records {
+			g.decideSwitching(now, r)
+		}
+		return g.decided()
+	}
 	for _, r := range g.records {
 		r.count(now, g.policy.window)
 	}
@@ -84,6 +90,11 @@
 		r.setWeight(now)
 	}
 	g.keepFloor(now)
+	return g.decided()
+}
+
+// decided returns the decisions as they stand.
+func (g *Group) decided() []Decision {
 	g.decisions = g.decisions[:0]
 	for _, r := range g.records {
 		g.decisions = append(g.decisions, Decision{r.addr, r.state, r.weight, r.reason})
--- a/health/health.go
+++ b/health/health.go
@@ -38,6 +38,7 @@
 	addr    string
 	zone    string
 	leaving bool
+	id      string
 }
 
 // NewServer returns a server with its address, "ip:port", and its zone.
@@ -46,6 +47,13 @@
 	return Server{addr: addr, zone: zone, leaving: leaving}
 }
 
+// WithID returns s with the id of its process; one with another id at the same
+// address has a history of its own.
+func (s Server) WithID(id string) Server {
+	s.id = id
+	return s
+}
+
 // Addr returns the address, "ip:port".
 func (s Server) Addr() string { return s.addr }
 
@@ -117,12 +125,13 @@
 			continue
 		}
 		index[s.addr] = len(records)
-		if i, known := old[s.addr]; known {
+		if i, known := old[s.addr]; known && g.records[i].id == s.id {
 			g.records[i].Server = s
 			records = append(records, g.records[i])
 			continue
 		}
 		r := &record{Server: s, since: now, weight: 1}
+		r.news.server = Key(g.service, s.addr)
 		if g.started {
 			r.enter(now, Starting, "new in the service")
 			r.ramp = startWeight
@@ -151,6 +160,13 @@
 	if r == nil {
 		return
 	}
+	if g.policy.switching {
+		if s.Outcome == board.Draining {
+			r.drains(now)
+		}
+		g.believe(now, r, s)
+		return
+	}
 	switch s.Outcome {
 	case board.Shed:
 		// A server that sheds is busy, which is no evidence either way.
--- a/health/policy.go
+++ b/health/policy.go
@@ -17,6 +17,8 @@
 	margin  float64       // Slow means above the 98th percentile times margin.
 	passes  int           // Good exchanges that end a trial.
 	base    time.Duration // First ejection.
+	// switching replaces the states by a probability; only margin is used then.
+	switching bool
 }
 
 // NewPolicy returns the policy for d. An unknown profile is read as steady and
@@ -24,6 +26,9 @@
 // ejections.
 func NewPolicy(d note.Detection) Policy {
 	bias := min(max(d.Bias, 0), 1)
+	if d.Profile == note.ProfileSwitch {
+		return Policy{window: time.Second, margin: 1.5 + bias/2, switching: true}
+	}
 	if d.Profile == note.ProfileFast {
 		return Policy{
 			window:  scale(time.Second, 1+bias/2),
--- a/health/record.go
+++ b/health/record.go
@@ -56,6 +56,12 @@
 	words   []word // Reports of other VMs, by origin.
 	heardAt time.Time
 
+	// With a switching policy.
+	fleet     belief    // From the exchanges of all VMs.
+	path      belief    // From those of this VM.
+	news      Event     // What other VMs have not been told.
+	stallSeen time.Time // Start of the last request in flight that counted.
+
 	// Decision.
 	tally     tally
 	score     float64 // Evidence of all VMs, in nats.
--- a/health/share.go
+++ b/health/share.go
@@ -127,6 +127,9 @@
 // bounded number of reports of other VMs, so that evidence reaches VMs that are
 // not linked with its origin. In a healthy service it is empty.
 func (g *Group) Reports(now time.Time) []Report {
+	if g.policy.switching {
+		return nil // Events carry the evidence.
+	}
 	var own, relayed []Report
 	for _, r := range g.records {
 		if !r.notable(now) {
--- a/member/choose.go
+++ b/member/choose.go
@@ -39,7 +39,7 @@
 	v.chosen = v.chosen[:0]
 	v.chooseNeighbours()
 	v.chooseZones()
-	for len(v.chosen) < peersPerVM {
+	for len(v.chosen) < v.wanted() {
 		r := v.best(func(*record) bool { return true })
 		if r == nil {
 			break
@@ -48,6 +48,14 @@
 	}
 }
 
+// wanted returns how many peers this VM chooses.
+func (v *View) wanted() int {
+	if len(v.ring) <= v.mesh {
+		return max(peersPerVM, len(v.ring)-1)
+	}
+	return peersPerVM
+}
+
 func (v *View) pick(r *record) {
 	r.chosen = true
 	v.chosen = append(v.chosen, r)
--- a/member/link.go
+++ b/member/link.go
@@ -49,6 +49,7 @@
 	cursor      uint64   // Ring position that the sync has reached.
 	beats       int      // Heartbeats since the last slice for repair.
 	reports     reportQueue
+	events      map[uint32]*wire.Event // By server.
 }
 
 // item is a record that waits on a link.
--- a/member/report.go
+++ b/member/report.go
@@ -126,6 +126,30 @@
 	}
 }
 
+const maxEvents = 1024 // Servers with events that wait on one link.
+
+// Tell queues events on all links. Events on one server that wait are added up, so
+// that a link that is behind holds no more than one for each server.
+func (v *View) Tell(events []*wire.Event) {
+	for _, l := range v.links {
+		if l.events == nil {
+			l.events = map[uint32]*wire.Event{}
+		}
+		for _, e := range events {
+			old := l.events[e.GetServer()]
+			if old == nil {
+				if len(l.events) >= maxEvents {
+					continue
+				}
+				old = &wire.Event{Server: e.GetServer()}
+				l.events[e.GetServer()] = old
+			}
+			old.Good += e.GetGood()
+			old.Bad += e.GetBad()
+		}
+	}
+}
+
 // TakeReports returns the reports of other VMs since the last call, with their
 // age as of their arrival.
 func (v *View) TakeReports() []*wire.Report {
--- a/member/service.go
+++ b/member/service.go
@@ -44,6 +44,8 @@
 	// OnReports receives reports of other VMs, each newer than the last one of
 	// the same origin on the same server.
 	OnReports func(reports []*wire.Report)
+	// OnEvents receives the events of a linked VM.
+	OnEvents func(events []*wire.Event)
 	// OnGeneration is called for each heartbeat of a peer whose release has a
 	// higher generation than Generation returns.
 	OnGeneration func(peerAddr string, generation uint64)
@@ -53,6 +55,9 @@
 	// incarnation has appeared; this one must stop.
 	OnReplaced func()
 
+	// Mesh is the size up to which each VM links to all others; 0 for none.
+	Mesh int
+
 	// Metrics takes the counters; nil keeps them in a set of their own.
 	Metrics *metrics.Set
 }
@@ -64,6 +69,7 @@
 	snapshot atomic.Pointer[Snapshot]
 	// gate is called before each step; tests hold it to pause this VM.
 	gate func()
+	kick chan struct{} // Wakes Run for an urgent heartbeat.
 
 	mu         sync.Mutex
 	view       *View
@@ -116,10 +122,12 @@
 		opts:  o,
 		count: newCounters(o.Metrics),
 		gate:  func() {},
+		kick:  make(chan struct{}, 1),
 		view:  NewView(time.Now(), o.Self, o.Seeds, o.Seed),
 		links: map[LinkID]*peer.Link{},
 		ids:   map[*peer.Link]LinkID{},
 	}
+	s.view.mesh = o.Mesh
 	s.snapshot.Store(s.view.Snapshot())
 	return s
 }
@@ -141,6 +149,23 @@
 	return s.view.Dump(time.Now())
 }
 
+// Tell sends events to all linked VMs with the next heartbeat, or at once when they
+// are urgent.
+func (s *Service) Tell(events []*wire.Event, urgent bool) {
+	s.mu.Lock()
+	s.view.Tell(events)
+	if urgent {
+		s.view.HeartbeatNow(time.Now())
+	}
+	s.mu.Unlock()
+	if urgent {
+		select {
+		case s.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Leave announces that this VM is leaving.
 func (s *Service) Leave() {
 	s.mu.Lock()
@@ -180,6 +205,9 @@
 	}
 	reports := s.view.TakeReports()
 	s.mu.Unlock()
+	if len(h.GetEvents()) > 0 && s.opts.OnEvents != nil {
+		s.opts.OnEvents(h.GetEvents())
+	}
 	if len(reports) > 0 && s.opts.OnReports != nil {
 		s.opts.OnReports(reports)
 	}
@@ -203,6 +231,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-s.kick:
 		}
 		s.gate()
 		now := time.Now()
--- a/member/spread.go
+++ b/member/spread.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -57,6 +58,10 @@
 		v.addRepair(now, h, room)
 	}
 	v.addReports(now, l, h)
+	for _, server := range slices.Sorted(maps.Keys(l.events)) {
+		h.Events = append(h.Events, l.events[server])
+	}
+	clear(l.events)
 	return h
 }
 
--- a/member/view.go
+++ b/member/view.go
@@ -104,6 +104,7 @@
 	reports    reportTable
 	rng        *rand.Rand
 
+	mesh     int // Size up to which all members are chosen.
 	chosen   []*record
 	rechoose bool
 	last     time.Time // Last time that any method saw.
--- a/note/check.go
+++ b/note/check.go
@@ -39,7 +39,7 @@
 	pathPattern   = regexp.MustCompile(`^/[A-Za-z0-9._~!$&'()+,;=:@/-]*$`)
 	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
-	profiles = []string{ProfileFast, ProfileSteady}
+	profiles = []string{ProfileFast, ProfileSteady, ProfileSwitch}
 	echoes   = []string{EchoRequired, EchoChecked, EchoOpen}
 	keys     = []string{KeyRequired, KeyOptional}
 	classes  = []string{ClassUrgent, ClassNormal, ClassBulk}
--- a/note/release.go
+++ b/note/release.go
@@ -47,6 +47,10 @@
 const (
 	ProfileFast   = "fast"   // Short detection time.
 	ProfileSteady = "steady" // Few false ejections.
+	// ProfileSwitch is for servers that fail most requests for some seconds, again and
+	// again, with few requests a second each: it judges by single exchanges of all VMs
+	// and ejects none.
+	ProfileSwitch = "switch"
 )
 
 // Detection says how a service weighs detection time against false ejections.
