--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -19,6 +19,7 @@
 
 const (
 	attemptsMost = 4 // Of one request, hedges included, unless its route says otherwise.
+	unsentMost   = 4 // Attempts of one request beyond that bound that reached no server.
 	limitTries   = 4 // Servers at their limits that one choice passes over.
 )
 
@@ -33,7 +34,7 @@
 	c.service.budget.Earn()
 	d := &dispatch{
 		call: c, ctx: ctx, whole: whole, stem: c.handler.newID(),
-		results: make(chan result, c.route.attempts),
+		results: make(chan result, c.route.attempts+unsentMost),
 	}
 	d.tried, d.begun = d.room.tried[:0], d.room.begun[:0]
 	if c.repeatable && c.service.note.Limits.Hedge {
@@ -93,6 +94,7 @@
 	begun    []begun // Parallel to tried.
 	results  chan result
 	pending  int
+	unsent   int     // Attempts that reached no server.
 	recent   *window // Nil when the call is not hedged.
 	spare    *reply  // A whole response that reports a failure of the server.
 	maybeRan error   // Of an attempt that may have run.
@@ -210,11 +212,14 @@
 }
 
 // again launches a retry when budget and servers allow it. An attempt that
-// found no free connection cost its server nothing, so it costs no budget. After
-// a broken connection the same server may serve when there is no other.
+// reached no server cost none anything, so it costs no budget. After a broken
+// connection the same server may serve when there is no other.
 func (d *dispatch) again(err error) bool {
 	kind := fault.Of(err)
-	if kind != fault.NoServer && !d.spend() {
+	switch {
+	case kind == fault.NoServer || kind == fault.Unreachable:
+		d.unsent++
+	case !d.spend():
 		return false
 	}
 	return d.launch(err != nil && kind == fault.Interrupted)
@@ -225,7 +230,7 @@
 // launch starts an attempt at a server that was not tried, or with same set at
 // any server when all were tried.
 func (d *dispatch) launch(same bool) bool {
-	if len(d.tried) >= d.call.route.attempts {
+	if len(d.tried)-d.unsent >= d.call.route.attempts || len(d.tried) >= cap(d.results) {
 		return false
 	}
 	v, counted := d.next(d.tried)
@@ -262,7 +267,7 @@
 func (d *dispatch) next(tried []*pick.Target) (v *server, counted bool) {
 	c := d.call
 	choose := c.handler.choose
-	if !c.repeatable {
+	if !c.repeatable || len(d.tried) > 0 {
 		choose = c.handler.steady
 	}
 	var first *server
