--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -82,9 +82,15 @@
 	if v.opts.Source == nil {
 		once = part[*idem.Guard](v).Do
 	}
-	return proxy.New(proxy.Options{
-		// No Zone: with a preference for the VM's own zone, VMs in a slow zone see
+	zone := ""
+	if v.opts.Source != nil {
+		// Bytes between zones are dear, and with the profile switch all VMs share what
+		// each sees. Without it there is no preference: VMs in a slow zone would see
 		// little of the others and eject its servers (replay traces zone and stall).
+		zone = v.settings.Zone
+	}
+	return proxy.New(proxy.Options{
+		Zone:           zone,
 		Dialect:        v.opts.Dialect,
 		Seed:           v.incarnation,
 		AnonymousRate:  v.settings.Limits.Rate,
