--- a/health/belief.go
+++ b/health/belief.go
@@ -38,8 +38,6 @@
 	// doubt is the probability at which a server gets half of a full share. Requests
 	// that must not run twice avoid servers beyond it, see pick.SteadyWeight.
 	doubt = 0.12
-	// doubtSlope says how fast the share falls with the probability.
-	doubtSlope = 1.5
 	// leastShare keeps a few requests that can be repeated on every server, to see when it
 	// is sound again.
 	leastShare = 0.03
@@ -192,6 +190,17 @@
 	return events, urgent
 }
 
+// share returns the share of work of a server that is failing with probability p:
+// from 1 to a half at doubt, and from there in proportion to the probability that it
+// is sound. A steeper curve leaves servers that were idle for a few seconds without
+// the requests that would show them to be sound, so that the load gathers on few.
+func share(p float64) float64 {
+	if p <= doubt {
+		return 1 - (1-usableWeight)*p/doubt
+	}
+	return max(leastShare, usableWeight*(1-p)/(1-doubt))
+}
+
 // decideSwitching decides on one server by the probability that it is failing.
 func (g *Group) decideSwitching(now time.Time, r *record) {
 	r.stated = r.condition(now)
@@ -207,7 +216,7 @@
 		return
 	}
 	p := 1 - (1-r.fleet.probability(now, &serverChain))*(1-r.path.probability(now, &pathChain))
-	weight := 1 / (1 + math.Pow(p/doubt, doubtSlope))
+	weight := share(p)
 	state, reason := Healthy, ""
 	if weight < usableWeight {
 		state, reason = Reduced, "probably failing"
@@ -215,5 +224,5 @@
 	if r.state != state {
 		r.enter(now, state, reason)
 	}
-	r.weight = max(leastShare, weight)
+	r.weight = weight
 }
--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -54,7 +54,6 @@
 	outside time.Duration // Time in which nobody read the response.
 	waiter  waiter        // In the list of the pool while the exchange waits.
 	reuse   bool
-	stray   bool // A response to another request came before this one.
 	ended   bool
 }
 
@@ -199,8 +198,7 @@
 	return r, nil
 }
 
-// head reads response heads until a final one. On a kept connection it passes
-// over the late response to an earlier request.
+// head reads response heads until a final one.
 func (x *exchange) head() (*http.Response, error) {
 	for range interimMost {
 		head, err := http.ReadResponse(x.link.reader, x.msg)
@@ -211,27 +209,12 @@
 			return nil, errors.New("backend server switched protocols")
 		}
 		if head.StatusCode >= http.StatusOK {
-			if !x.link.reused || x.matches(head.Header) || !x.skip(head) {
-				return head, nil
-			}
+			return head, nil
 		}
 	}
 	return nil, errors.New("too many interim responses")
 }
 
-const skipMost = 64 << 10 // Bytes of a late response that are passed over.
-
-// skip passes over a response to an earlier request. It reports false when the
-// end of that response cannot be told.
-func (x *exchange) skip(head *http.Response) bool {
-	if head.Close || head.ContentLength < 0 || head.ContentLength > skipMost {
-		return false
-	}
-	x.stray = true
-	_, err := io.Copy(io.Discard, head.Body)
-	return err == nil
-}
-
 // lost ends an exchange whose response cannot be read.
 func (x *exchange) lost(err error) error {
 	x.link.close()
@@ -347,7 +330,7 @@
 	}
 	// A connection with bytes after the response cannot be told from one that
 	// carries the response to another request.
-	if x.reuse && !x.stray && x.stop() && x.link.reader.Buffered() == 0 {
+	if x.reuse && x.stop() && x.link.reader.Buffered() == 0 {
 		x.pool.keep(x.link)
 		return
 	}
--- a/pool/link.go
+++ b/pool/link.go
@@ -29,7 +29,6 @@
 	writer *bufio.Writer
 	since  time.Time // Idle since.
 	until  time.Time // When the backend server may close it; zero when not said.
-	reused bool      // An exchange has ended on it.
 	room   int64     // Bytes that may still be read, while a header is read.
 	sent   atomic.Int64
 	failed atomic.Bool // A write failed.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -199,7 +199,7 @@
 		p.open--
 		return
 	}
-	l.since, l.reused = time.Now(), true
+	l.since = time.Now()
 	p.idle = append(p.idle, l)
 	if p.sweeper == nil {
 		p.sweeper = time.AfterFunc(p.opts.Idle, p.sweep)
