--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -62,6 +62,7 @@
 	do.Provide(i, v.newAdmin)
 	traffic := part[*proxy.Handler](v)
 	v.health.flights, v.health.apply = traffic.Flights, traffic.SetWeights
+	v.health.others = traffic.SetOthers
 	v.health.tell = func(events []*wire.Event, urgent bool) { part[*member.Service](v).Tell(events, urgent) }
 	v.callers = v.newCallers()
 	handler := v.callers.handler()
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -33,6 +33,7 @@
 	origin   uint64 // Incarnation of this VM.
 	flights  func() []board.Flight
 	apply    func(service string, weights map[string]float64)
+	others   func(service string, others map[string]float64)
 	order    []string
 	watched  map[string]*watched
 	steps    int
@@ -171,17 +172,24 @@
 func (m *monitor) decide(now time.Time, name string, w *watched) {
 	w.fresh, w.settled = false, true
 	changed := map[string]float64{}
+	others := map[string]float64{}
 	for _, d := range w.group.Decide(now) {
 		if before, known := w.weights[d.Server()]; !known || before != d.Weight() {
 			w.weights[d.Server()] = d.Weight()
 			changed[d.Server()] = d.Weight()
 		}
+		if d.Others() > 0 {
+			others[d.Server()] = d.Others()
+		}
 		w.settled = w.settled && d.State() == health.Healthy
 		m.record(w, d)
 	}
 	if len(changed) > 0 {
 		m.apply(name, changed)
 	}
+	if len(others) > 0 {
+		m.others(name, others)
+	}
 }
 
 // published returns the newest reports; any goroutine may call it.
--- a/health/belief.go
+++ b/health/belief.go
@@ -89,6 +89,38 @@
 	return b.odds / (1 + b.odds)
 }
 
+// flowTime is the time over which exchanges of other VMs are averaged. It is a few
+// heartbeats, which bring them.
+const flowTime = 1500 * time.Millisecond
+
+// flow counts events, with old ones decaying.
+type flow struct {
+	count float64
+	at    time.Time
+}
+
+func (f *flow) decay(now time.Time) {
+	if f.count > 0 {
+		f.count *= math.Exp(-float64(now.Sub(f.at)) / float64(flowTime))
+	}
+	f.at = now
+}
+
+func (f *flow) add(now time.Time, n int) {
+	f.decay(now)
+	f.count += float64(n)
+}
+
+// others returns how many requests of other VMs are in flight, from the rate at
+// which they end and the time that a typical one takes.
+func (r *record) others(now time.Time, typical time.Duration) float64 {
+	if r.heard.at.IsZero() {
+		return 0
+	}
+	r.heard.decay(now)
+	return r.heard.count * float64(typical) / float64(flowTime)
+}
+
 // Event is what one VM saw of a server since its last event about it.
 type Event struct {
 	server uint32
@@ -170,6 +202,7 @@
 	for _, r := range g.records {
 		if r.news.server == e.server {
 			r.fleet.see(now, &serverChain, e.good, e.bad)
+			r.heard.add(now, e.good)
 			return true
 		}
 	}
--- a/health/decide.go
+++ b/health/decide.go
@@ -74,6 +74,7 @@
 // reused by the next call.
 func (g *Group) Decide(now time.Time) []Decision {
 	g.refresh(now)
+	g.decidedAt = now
 	if g.policy.switching {
 		for _, r := range g.records {
 			g.decideSwitching(now, r)
@@ -97,7 +98,9 @@
 func (g *Group) decided() []Decision {
 	g.decisions = g.decisions[:0]
 	for _, r := range g.records {
-		g.decisions = append(g.decisions, Decision{r.addr, r.state, r.weight, r.reason})
+		g.decisions = append(g.decisions, Decision{
+			server: r.addr, state: r.state, weight: r.weight, others: r.others(g.decidedAt, g.base.median), reason: r.reason,
+		})
 	}
 	return g.decisions
 }
--- a/health/health.go
+++ b/health/health.go
@@ -68,9 +68,14 @@
 	server string
 	state  State
 	weight float64
+	others float64
 	reason string
 }
 
+// Others returns how many requests of other VMs the server is expected to have in
+// flight; 0 when nothing is known of them.
+func (d Decision) Others() float64 { return d.others }
+
 // Server returns the address, "ip:port".
 func (d Decision) Server() string { return d.server }
 
@@ -96,6 +101,7 @@
 	zones     []zoneCount
 	sharedAt  time.Time // Last time with a shared cause.
 	decisions []Decision
+	decidedAt time.Time
 	order     []int // Scratch for the floor and the baseline.
 }
 
--- a/health/record.go
+++ b/health/record.go
@@ -60,6 +60,7 @@
 	fleet     belief    // From the exchanges of all VMs.
 	path      belief    // From those of this VM.
 	news      Event     // What other VMs have not been told.
+	heard     flow      // Exchanges that other VMs ended.
 	stallSeen time.Time // Start of the last request in flight that counted.
 
 	// Decision.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -15,6 +15,7 @@
 	slots    int
 	weight   atomic.Uint64 // Bits of a float64, 0 to 1.
 	inflight atomic.Int64
+	others   atomic.Uint64 // Bits of a float64: requests of other VMs in flight, estimated.
 }
 
 // NewTarget returns a target with weight 1.
@@ -45,18 +46,26 @@
 // End counts an attempt that ended.
 func (t *Target) End() { t.inflight.Add(-1) }
 
+// SetOthers sets how many requests of other VMs the target is expected to have.
+func (t *Target) SetOthers(n float64) { t.others.Store(math.Float64bits(n)) }
+
 // Inflight returns the attempts of this VM that are in flight.
 func (t *Target) Inflight() int { return int(t.inflight.Load()) }
 
 // capacity is the share of work the target may get, in slots.
 func (t *Target) capacity() float64 { return t.Weight() * float64(t.slots) }
 
-// load is the work of this VM at the target over its capacity.
-func (t *Target) load() float64 { return float64(t.Inflight()) / t.capacity() }
+// work is the requests in flight, those of other VMs as far as they are known.
+func (t *Target) work() float64 {
+	return float64(t.Inflight()) + math.Float64frombits(t.others.Load())
+}
+
+// load is the work at the target over its capacity.
+func (t *Target) load() float64 { return t.work() / t.capacity() }
 
 // loadNext is load with one more request in flight. Unlike load it tells an
 // idle target with a low weight from an idle healthy one.
-func (t *Target) loadNext() float64 { return float64(t.Inflight()+1) / t.capacity() }
+func (t *Target) loadNext() float64 { return (t.work() + 1) / t.capacity() }
 
 const (
 	// zoneSlack is how far the load of a target in the VM's own zone may exceed
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -188,6 +188,20 @@
 	s.makeRoom()
 }
 
+// SetOthers sets how many requests of other VMs backend servers of a service are
+// expected to have in flight, by address.
+func (h *Handler) SetOthers(name string, others map[string]float64) {
+	st := h.state.Load()
+	if st == nil || st.services[name] == nil {
+		return
+	}
+	for addr, n := range others {
+		if v := st.services[name].servers[addr]; v != nil {
+			v.target.SetOthers(n)
+		}
+	}
+}
+
 // Flights returns what is in flight; a backend server with nothing is left out.
 func (h *Handler) Flights() []board.Flight {
 	st := h.state.Load()
