--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -100,6 +100,7 @@
 		Sample:         func(s board.Sample) { control.Post(s) },
 		Once:           once,
 		Metrics:        part[*metrics.Set](v),
+		Log:            v.log,
 	}), nil
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -27,13 +27,15 @@
 // whole set it is buffered to its end, whatever its length.
 func (c *call) execute(ctx context.Context, whole bool) (*reply, error) {
 	ask := limit.Ask{Class: c.class, Account: c.account, Deadline: c.deadline}
+	asked := time.Now()
 	leave, err := c.service.queue.Enter(ctx, ask)
+	c.waited = time.Since(asked)
 	if err != nil {
 		return nil, notRun(err)
 	}
 	c.service.budget.Earn()
 	d := &dispatch{
-		call: c, ctx: ctx, whole: whole, stem: c.handler.newID(),
+		call: c, ctx: ctx, whole: whole, start: time.Now(), stem: c.handler.newID(),
 		results: make(chan result, c.route.attempts+unsentMost),
 	}
 	d.tried, d.begun = d.room.tried[:0], d.room.begun[:0]
@@ -46,6 +48,7 @@
 		return nil, err
 	}
 	p.leave = leave
+	c.status = p.status
 	return p, nil
 }
 
@@ -79,6 +82,7 @@
 // begun is an attempt that was launched.
 type begun struct {
 	start  time.Time
+	weight float64 // Of the server, when it was chosen.
 	cancel context.CancelFunc
 	ended  bool // Its result was taken.
 }
@@ -88,6 +92,7 @@
 	call     *call
 	ctx      context.Context
 	whole    bool
+	start    time.Time
 	stem     string // Of the request ids of attempts.
 	gate     gate
 	tried    []*pick.Target
@@ -125,6 +130,7 @@
 		case r := <-d.results:
 			d.pending--
 			d.begun[r.index].ended = true
+			d.note(r)
 			if p, err, done := d.take(r); done {
 				if p != nil {
 					winner = p.index
@@ -243,7 +249,7 @@
 	index := len(d.tried)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.tried = append(d.tried, v.target)
-	d.begun = append(d.begun, begun{start: time.Now(), cancel: cancel})
+	d.begun = append(d.begun, begun{start: time.Now(), weight: v.target.Weight(), cancel: cancel})
 	d.pending++
 	v.target.Begin() // Before the next choice, which may be made before this attempt starts.
 	go func() {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -36,6 +36,10 @@
 	header     http.Header
 	body       []byte
 	held       int64 // Bytes counted for body.
+	generation uint64
+	status     int           // Of the response; 0 for a refusal.
+	waited     time.Duration // For room in the queue.
+	attempts   []attemptLog
 }
 
 // accept checks a request and reads its body. The call is returned together
@@ -82,7 +86,7 @@
 	}
 	return &call{
 		handler: h, service: s, route: route, repeatable: route.idempotent,
-		class: route.class, method: method, host: host, target: u.RequestURI(),
+		generation: st.generation, class: route.class, method: method, host: host, target: u.RequestURI(),
 	}, nil
 }
 
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/fault"
@@ -65,6 +66,9 @@
 	// Once runs a keyed request at most once. By default it runs each request.
 	Once    func(ctx context.Context, c idem.Call, run idem.Run) (*idem.Answer, error)
 	Metrics *metrics.Set // By default a set of its own.
+	// Log takes a line for each request that was not answered by its first attempt,
+	// and at level debug for all others.
+	Log zerolog.Logger
 }
 
 // Handler serves callers.
@@ -270,6 +274,7 @@
 // ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := h.callerID(r)
+	start := time.Now()
 	count := h.count
 	h.limitBody(w, r)
 	c, err := h.accept(w, r, id)
@@ -286,10 +291,11 @@
 	}
 	if err == nil {
 		count.whole.Inc()
-		return
+	} else {
+		count.fault(fault.Of(err))
+		refuse(w, err, id)
 	}
-	count.fault(fault.Of(err))
-	refuse(w, err, id)
+	h.logRequest(id, start, c, err)
 }
 
 // mayHaveRun reports whether an earlier request with the key of r may have run,
