--- a/limit/budget.go
+++ b/limit/budget.go
@@ -10,20 +10,23 @@
 )
 
 const (
-	budgetSlot  = 500 * time.Millisecond
-	budgetSlots = 10 // A window of 5 s.
+	budgetWindow = 5 * time.Second
+	budgetSlots  = 10 // Parts of a window.
 )
 
 // Budget bounds retries and hedges to a share of requests, both within a sliding
-// window of 5 s and over the whole run of the process. The burst lets a service
-// with little traffic retry at all.
+// window and over the whole run of the process. The burst lets a service with
+// little traffic retry at all.
 type Budget struct {
-	ratio float64
-	burst float64
+	ratio  float64
+	burst  float64
+	slot   time.Duration
+	refill float64 // Share of the burst that comes back in a second.
 
 	mu     sync.Mutex
 	slots  [budgetSlots]budgetCount
 	tokens float64 // What requests have earned and retries have not spent.
+	filled time.Time
 }
 
 // budgetCount counts what happened in one slot of time.
@@ -34,8 +37,17 @@
 }
 
 // NewBudget returns a budget of ratio retries per request with a small burst.
-func NewBudget(ratio float64, burst int) *Budget {
-	return &Budget{ratio: ratio, burst: float64(burst), tokens: float64(burst)}
+// refill is the time in which the whole burst comes back, and then the window of
+// the budget; with 0 it does not, and the window has 5 s.
+func NewBudget(ratio float64, burst int, refill time.Duration) *Budget {
+	b := &Budget{
+		ratio: ratio, burst: float64(burst), slot: budgetWindow / budgetSlots,
+		tokens: float64(burst), filled: time.Now(),
+	}
+	if refill > 0 {
+		b.slot, b.refill = refill/budgetSlots, 1/refill.Seconds()
+	}
+	return b
 }
 
 // Earn counts a request that a caller sent.
@@ -53,6 +65,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot, earned, spent := b.window()
+	if b.refill > 0 {
+		now := time.Now()
+		b.tokens += now.Sub(b.filled).Seconds() * b.refill * b.burst
+		b.filled = now
+	}
 	if b.tokens+grain < 1 || float64(spent+1) > b.burst+b.ratio*float64(earned)+grain {
 		return false
 	}
@@ -63,7 +80,7 @@
 
 // window returns the current slot and the sums over the window.
 func (b *Budget) window() (slot *budgetCount, earned, spent int) {
-	now := time.Now().UnixNano() / int64(budgetSlot)
+	now := time.Now().UnixNano() / int64(b.slot)
 	slot = &b.slots[now%budgetSlots]
 	if slot.at != now {
 		*slot = budgetCount{at: now}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -146,7 +146,7 @@
 	// for two retries. Every window that ends at a retry is checked, and the total.
 	trial := func(seed uint64) bool {
 		r := rand.New(rand.NewPCG(seed, 0))
-		b := limit.NewBudget(ratio, burst)
+		b := limit.NewBudget(ratio, burst, 0)
 		var earned, spent []time.Time
 		for i := range 1500 {
 			time.Sleep(time.Duration(r.ExpFloat64() * float64(20*time.Millisecond)))
@@ -218,7 +218,7 @@
 		names[i] = fmt.Sprint("account ", i)
 		rates.Allow(epoch, names[i], 0.001, 10)
 	}
-	a, budget, q := limit.NewAdaptive(64), limit.NewBudget(0.1, 10), limit.NewQueue(64, 64)
+	a, budget, q := limit.NewAdaptive(64), limit.NewBudget(0.1, 10, 0), limit.NewQueue(64, 64)
 	steps := map[string]func(i int){
 		"rates": func(i int) { rates.Allow(epoch.Add(time.Duration(i)), names[i%len(names)], 0.001, 10) },
 		"adaptive": func(i int) {
--- a/note/check.go
+++ b/note/check.go
@@ -90,6 +90,7 @@
 	inside(p, path+".limits.answer", s.Limits.Answer, 1, maxAnswer)
 	inside(p, path+".limits.retry", s.Limits.Retry, 0, 1)
 	inside(p, path+".limits.burst", s.Limits.Burst, 0, maxBurst)
+	checkSpan(p, path+".limits.refill", s.Limits.Refill, 0, maxDeadline)
 	checkSpan(p, path+".deadline", s.Deadline, minDeadline, maxDeadline)
 	checkPath(p, path+".probe.path", s.Probe.Path)
 	checkSpan(p, path+".probe.period", s.Probe.Period, minPeriod, maxPeriod)
--- a/note/release.go
+++ b/note/release.go
@@ -68,7 +68,9 @@
 	Answer int64   `json:"answer"` // Response body, in bytes.
 	Retry  float64 `json:"retry"`  // Retries and hedges as a share of requests, 0 to 1.
 	Burst  int     `json:"burst"`  // Retries and hedges of one VM beyond that share.
-	Hedge  bool    `json:"hedge"`
+	// Refill is the time in which Burst is granted anew; 0 grants it once.
+	Refill Duration `json:"refill,omitempty"`
+	Hedge  bool     `json:"hedge"`
 }
 
 // Probe says how backend servers are probed.
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -87,8 +87,9 @@
 		// A new queue would not count the requests that run.
 		s.queue.SetDepth(depth)
 	}
-	if old == nil || old.note.Limits.Retry != n.Limits.Retry || old.note.Limits.Burst != n.Limits.Burst {
-		s.budget = limit.NewBudget(n.Limits.Retry, orDefault(n.Limits.Burst, defaultBurst))
+	if old == nil || old.note.Limits.Retry != n.Limits.Retry || old.note.Limits.Burst != n.Limits.Burst ||
+		old.note.Limits.Refill != n.Limits.Refill {
+		s.budget = limit.NewBudget(n.Limits.Retry, orDefault(n.Limits.Burst, defaultBurst), n.Limits.Refill.Std())
 	}
 }
 
