--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -87,6 +87,8 @@
 		Log:         log,
 		Dialect:     platform.Dialect(),
 		Source:      source.Run,
+		Newest:      source.Newest,
+		Heard:       source.Heard,
 		Hints:       fleet.VMs,
 		Incarnation: incarnation,
 	})
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -188,6 +188,12 @@
 			part[*deploy.Follower](v).Offer(addr, generation)
 		}
 	}
+	if v.opts.Newest != nil {
+		opts.Generation = func() uint64 { config, _ := v.opts.Newest(); return config }
+		opts.OnGeneration = func(_ string, generation uint64) { v.opts.Heard(generation, 0) }
+		opts.Roster = func() uint64 { _, servers := v.opts.Newest(); return servers }
+		opts.OnRoster = func(roster uint64) { v.opts.Heard(0, roster) }
+	}
 	return member.New(opts), nil
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,11 @@
 	// fleet once it has a release: a VM without one cannot serve what callers ask of
 	// it.
 	Source func(ctx context.Context, apply func(*note.Release, caller.Limits)) error
+	// Newest returns the newest changes to configuration and backend servers that the
+	// source knows of, and Heard tells it those that another VM knows of, as revisions
+	// of the platform. Both come with Source.
+	Newest func() (config, servers uint64)
+	Heard  func(config, servers uint64)
 	// Hints reads the list of VMs; by default from the platform of the settings.
 	Hints func(ctx context.Context) ([]store.VM, error)
 	// Incarnation numbers this start of the VM above all earlier ones; 0 takes the
--- a/member/service.go
+++ b/member/service.go
@@ -41,6 +41,10 @@
 	// Generation returns that of the release in effect, 0 when there is none.
 	Generation func() uint64
 
+	// Roster returns the newest change to the backend servers that this VM knows of; nil
+	// where the release says it all.
+	Roster func() uint64
+
 	// OnReports receives reports of other VMs, each newer than the last one of
 	// the same origin on the same server.
 	OnReports func(reports []*wire.Report)
@@ -49,6 +53,9 @@
 	// OnGeneration is called for each heartbeat of a peer whose release has a
 	// higher generation than Generation returns.
 	OnGeneration func(peerAddr string, generation uint64)
+	// OnRoster is called for each heartbeat of a peer that knows of a newer change to the
+	// backend servers than Roster returns.
+	OnRoster func(roster uint64)
 	// OnChange receives state changes, in order.
 	OnChange func(c Change)
 	// OnReplaced is called once when a process with the same id and a higher
@@ -208,6 +215,9 @@
 	if len(h.GetEvents()) > 0 && s.opts.OnEvents != nil {
 		s.opts.OnEvents(h.GetEvents())
 	}
+	if ok && s.opts.OnRoster != nil && h.GetRoster() > s.opts.Roster() {
+		s.opts.OnRoster(h.GetRoster())
+	}
 	if len(reports) > 0 && s.opts.OnReports != nil {
 		s.opts.OnReports(reports)
 	}
@@ -290,7 +300,11 @@
 	generation := s.opts.Generation()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.view.Compose(time.Now(), id, generation)
+	h := s.view.Compose(time.Now(), id, generation)
+	if h != nil && s.opts.Roster != nil {
+		h.Roster = s.opts.Roster()
+	}
+	return h
 }
 
 // dial opens a link; OnLink registers it.
