--- a/caller/conn.go
+++ b/caller/conn.go
@@ -41,7 +41,8 @@
 // limitedReader bounds the bytes of a request header.
 type limitedReader struct {
 	conn net.Conn
-	left int // Bytes; negative for no bound.
+	left int   // Bytes; negative for no bound.
+	err  error // Of the connection, once it has ended.
 }
 
 func (r *limitedReader) Read(b []byte) (int, error) {
@@ -55,6 +56,9 @@
 	if r.left > 0 {
 		r.left -= n
 	}
+	if err != nil {
+		r.err = err
+	}
 	return n, err
 }
 
@@ -130,9 +134,14 @@
 // read reads one request with its body.
 func (c *conn) read() (*http.Request, error) {
 	limits := c.server.Limits()
+	c.limited.err = nil
 	c.limited.left = limits.Header + readBuffer // The buffer may read ahead of the header.
 	_ = c.net.SetReadDeadline(time.Now().Add(limits.Read))
 	r, err := http.ReadRequest(c.reader)
+	if err != nil && c.limited.err != nil {
+		// The library takes a request line that ends with the connection for malformed.
+		return nil, c.limited.err
+	}
 	if err != nil {
 		return nil, headerFault(err)
 	}
@@ -147,17 +156,10 @@
 	return r, nil
 }
 
-// headerFault returns the fault for a header that could not be read. A connection
-// that ends within a header needs no answer.
+// headerFault returns the fault for a header that could not be read.
 func headerFault(err error) error {
-	var timeout net.Error
-	switch {
-	case errors.Is(err, errHeaderSize):
+	if errors.Is(err, errHeaderSize) {
 		return fault.Wrap(fault.HeaderTooLarge, err, "request header")
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return err
-	case errors.As(err, &timeout):
-		return err
 	}
 	return fault.Wrap(fault.BadRequest, err, "request header")
 }
