--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -14,6 +14,7 @@
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/demo"
 	"github.com/azuredeal/azuredeal/entry"
+	"github.com/azuredeal/azuredeal/logs"
 	"github.com/azuredeal/azuredeal/platform"
 	"github.com/azuredeal/azuredeal/strict"
 )
@@ -28,7 +29,11 @@
 // Run serves until a signal. The first one begins the graceful shutdown, the
 // second one ends it.
 func (c *serveCommand) Run(ctx context.Context) error {
-	settings, err := conf.Load(cmp.Or(c.File, os.Getenv(settingsVariable)))
+	// Until the VM runs, a hangup must not end the process; changed settings are found
+	// by comparison then.
+	signal.Ignore(syscall.SIGHUP)
+	path := cmp.Or(c.File, os.Getenv(settingsVariable))
+	settings, err := conf.Load(path)
 	var problems strict.Problems
 	if errors.As(err, &problems) {
 		return report(err)
@@ -40,20 +45,22 @@
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
+	log, flush := logs.New(os.Stdout, level)
+	defer flush()
 	hard, cut := context.WithCancel(context.WithoutCancel(ctx))
 	defer cut()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	defer signal.Stop(signals)
 	if settings.Platform.Form == conf.FormObjects {
-		return serveObjects(hard, settings, log, signals, cut)
+		return serveObjects(hard, path, settings, log, signals, cut)
 	}
 	vm, err := entry.New(hard, settings, entry.Options{Log: log})
 	if err != nil {
 		return err
 	}
 	go stopOn(hard, signals, vm.Drain, cut)
+	go watchSettings(hard, path, log, vm.Reload)
 	return vm.Run(hard)
 }
 
@@ -70,7 +77,9 @@
 }
 
 // serveObjects runs an entry VM on a platform with a metadata store of objects.
-func serveObjects(hard context.Context, settings conf.Settings, log zerolog.Logger, signals <-chan os.Signal, cut func()) error {
+func serveObjects(
+	hard context.Context, path string, settings conf.Settings, log zerolog.Logger, signals <-chan os.Signal, cut func(),
+) error {
 	client := platform.NewClient(settings.Platform.URL)
 	fleet := platform.NewFleet(client, log)
 	join, joined := context.WithCancel(hard)
@@ -96,6 +105,7 @@
 		return err
 	}
 	go stopOn(hard, signals, vm.Drain, cut)
+	go watchSettings(hard, path, log, vm.Reload)
 	group, ctx := errgroup.WithContext(hard)
 	ctx, end := context.WithCancel(ctx)
 	group.Go(func() error { return platform.NewFront(settings, vm, log).Run(ctx) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -171,6 +171,13 @@
 // Alive returns how many VMs this one holds for alive, itself included.
 func (v *VM) Alive() int { return len(part[*member.Service](v).Snapshot().Alive()) }
 
+// Reload takes over what may change in the settings of a running VM, the seeds of
+// its peers. All else is read at the next start.
+func (v *VM) Reload(settings conf.Settings) {
+	part[*member.Service](v).SetSeeds(settings.Peer.Seeds)
+	v.log.Info().Strs("seeds", settings.Peer.Seeds).Msg("settings reloaded")
+}
+
 // Drain begins the graceful shutdown; Run returns when it is done.
 func (v *VM) Drain() { v.drainOnce.Do(func() { close(v.drain) }) }
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -140,6 +140,27 @@
 }
 
 // Guards against retries that multiply the load, above all in an outage.
+// Guards against a burst that is spent once and for all, and against one that comes
+// back faster than its window.
+func TestBudgetRefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const burst, window = 3, 10 * time.Second
+		b := limit.NewBudget(0, burst, window)
+		for range 5 {
+			spent := 0
+			for range 100 {
+				if b.Spend() {
+					spent++
+				}
+			}
+			if spent != burst {
+				t.Errorf("%d retries in a window, want %d", spent, burst)
+			}
+			time.Sleep(window + time.Second)
+		}
+	})
+}
+
 func TestBudgetBoundsRetries(t *testing.T) {
 	const ratio, burst, window, slot = 0.1, 5, 5 * time.Second, 500 * time.Millisecond
 	// trial sends requests with odd gaps. In 10 of 15 s they fail, and each asks
--- a/member/service.go
+++ b/member/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -173,6 +174,13 @@
 	}
 }
 
+// SetSeeds replaces the addresses that are tried first.
+func (s *Service) SetSeeds(addrs []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.seeds = slices.Clone(addrs)
+}
+
 // Leave announces that this VM is leaving.
 func (s *Service) Leave() {
 	s.mu.Lock()
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -418,3 +418,27 @@
 		failIf(t, open != 1 || idle != 1 || b.dials != i+1, "%d open, %d idle, %d dials", open, idle, b.dials)
 	}
 }
+
+// Guards against a kept connection that is used when its server may be closing it:
+// what becomes of the request is then unknown.
+func TestKeepAliveTimeIsKept(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, c := range []struct {
+		header string
+		after  time.Duration
+		want   bool
+	}{
+		{"", time.Hour, false},
+		{"timeout=10", 9 * time.Second, false},
+		{"timeout=10, max=5", 9800 * time.Millisecond, true},
+		{"max=5, Timeout=1", 800 * time.Millisecond, true},
+		{"timeout=0", 0, true},
+		{"timeout=soon", time.Hour, false},
+	} {
+		l := &link{}
+		l.promised(http.Header{"Keep-Alive": {c.header}}, now)
+		if got := l.expired(now.Add(c.after)); got != c.want {
+			t.Errorf("%q after %v: %v", c.header, c.after, got)
+		}
+	}
+}
--- a/proxy/count.go
+++ b/proxy/count.go
@@ -20,6 +20,7 @@
 	aborted  *metrics.Counter
 	retries  *metrics.Counter
 	hedges   *metrics.Counter
+	duration *metrics.Histogram // Of requests, from the end of their header, in seconds.
 	faults   []atomic.Pointer[metrics.Counter] // By fault.Kind.
 	outcomes []atomic.Pointer[metrics.Counter] // By board.Outcome.
 }
@@ -34,6 +35,7 @@
 	c.aborted = c.named("aborted", "")
 	c.retries = c.named("retries", "")
 	c.hedges = c.named("hedges", "")
+	c.duration = set.GetOrCreateHistogram(fmt.Sprintf("azuredeal_request_seconds{service=%q}", service))
 	return c
 }
 
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -295,6 +295,7 @@
 		count.fault(fault.Of(err))
 		refuse(w, err, id)
 	}
+	count.duration.UpdateDuration(start)
 	h.logRequest(id, start, c, err)
 }
 
--- /dev/null
+++ b/proxy/split_test.go
@@ -0,0 +1,33 @@
+package proxy
+
+import (
+	"testing"
+
+	"github.com/azuredeal/azuredeal/note"
+)
+
+// Guards against shares of a split that are off in short spans, where each VM sees
+// few requests.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	parts := []note.Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}
+	r := newRoute(&note.Route{Split: parts})
+	counts := map[string]int{}
+	for range 200 {
+		counts[r.next()]++
+	}
+	if counts["a"] < 179 || counts["a"] > 181 || counts["c"] != 0 || counts["a"]+counts["b"] != 200 {
+		t.Errorf("counts %v", counts)
+	}
+}
+
+func TestRouteWithoutMethodsTakesAny(t *testing.T) {
+	table := NewTable(note.NewRelease(1, nil, []note.Route{{Name: "r", Host: "h", Path: "/a/*", Service: "s"}}, nil))
+	for _, method := range []string{"GET", "POST", "PURGE"} {
+		if table.Find("h", "/a/b", method) == nil {
+			t.Errorf("no route for %s", method)
+		}
+	}
+	if table.Find("h", "/a", "GET") != nil {
+		t.Error("a prefix matches a path that it does not begin")
+	}
+}
