--- a/cmd/azuredeal/process_test.go
+++ b/cmd/azuredeal/process_test.go
@@ -47,14 +47,16 @@
 func startProcess(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, cmd: exec.Command(name, args...), done: make(chan struct{})}
-	stderr, err := p.cmd.StderrPipe()
+	output, input, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.cmd.Stdout, p.cmd.Stderr = input, input // Logs go to the one, errors to the other.
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go p.read(stderr)
+	_ = input.Close()
+	go p.read(output)
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
@@ -68,8 +70,8 @@
 	return p
 }
 
-func (p *process) read(stderr io.Reader) {
-	lines := bufio.NewScanner(stderr)
+func (p *process) read(output io.Reader) {
+	lines := bufio.NewScanner(output)
 	for lines.Scan() {
 		var line map[string]any
 		p.mu.Lock()
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -51,7 +51,7 @@
 }
 
 // Guards against work that waits for an output that takes nothing.
-func TestSlowOutputBlocksNobody(t *testing.T) {
+func TestSlowOutputBlocksNobody(*testing.T) {
 	release := make(chan struct{})
 	log, stop := New(writer(func(p []byte) (int, error) {
 		<-release
--- a/proxy/count.go
+++ b/proxy/count.go
@@ -20,7 +20,7 @@
 	aborted  *metrics.Counter
 	retries  *metrics.Counter
 	hedges   *metrics.Counter
-	duration *metrics.Histogram // Of requests, from the end of their header, in seconds.
+	duration *metrics.Histogram                // Of requests, from the end of their header, in seconds.
 	faults   []atomic.Pointer[metrics.Counter] // By fault.Kind.
 	outcomes []atomic.Pointer[metrics.Counter] // By board.Outcome.
 }
