--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -32,6 +32,9 @@
 const (
 	ledgerKeys  = 200_000  // Keys of one hour at about 50 a second.
 	ledgerBytes = 16 << 20 // Of answers that are kept.
+	// connectTime bounds a connection attempt where another server can be tried: a
+	// path that is cut shows as silence, and the longest one takes 40 ms.
+	connectTime = 200 * time.Millisecond
 	maxBody     = 64 << 20 // Bytes of a request body; the service of its route may allow less.
 )
 
@@ -83,15 +86,17 @@
 	if v.opts.Source == nil {
 		once = part[*idem.Guard](v).Do
 	}
-	zone := ""
+	zone, connect := "", time.Duration(0)
 	if v.opts.Source != nil {
 		// Bytes between zones are dear, and with the profile switch all VMs share what
 		// each sees. Without it there is no preference: VMs in a slow zone would see
 		// little of the others and eject its servers (replay traces zone and stall).
 		zone = v.settings.Zone
+		connect = connectTime
 	}
 	return proxy.New(proxy.Options{
 		Zone:           zone,
+		Connect:        connect,
 		Dialect:        v.opts.Dialect,
 		Seed:           v.incarnation,
 		AnonymousRate:  v.settings.Limits.Rate,
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -84,6 +84,9 @@
 	defer p.mu.Unlock()
 	next := map[string]probeLoop{}
 	for _, s := range services {
+		if s.Probe.Path == "" {
+			continue // The source of the release asks for no probes.
+		}
 		loop, running := p.loops[s.Name]
 		if !running || !reflect.DeepEqual(loop.service, s) {
 			loop = p.start(s)
