--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -376,6 +376,9 @@
 		if i == winner {
 			continue
 		}
+		if !b.ended {
+			d.call.attempts = append(d.call.attempts, d.describe(i, "abandoned"))
+		}
 		b.cancel()
 		if winner >= 0 && !b.ended {
 			// A hedge that lost counts with the time it took so far; without it,
--- a/proxy/trace.go
+++ b/proxy/trace.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,8 +15,8 @@
 	weight float64       // Share of work of the server when it was chosen.
 	begun  time.Duration // After the request was read.
 	took   time.Duration
-	result string // Status of the response, or the kind of the fault.
-	status int
+	status int    // Of the response; 0 when there is none.
+	result string // In place of the status: the kind of the fault, or "abandoned".
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -39,26 +40,29 @@
 
 // note keeps how an attempt ended for the log.
 func (d *dispatch) note(r result) {
-	b := d.begun[r.index]
-	a := attemptLog{
-		server: d.tried[r.index].Addr(), weight: b.weight,
-		begun: b.start.Sub(d.start), took: time.Since(b.start),
-	}
+	a := d.describe(r.index, fault.Of(r.err).String())
 	if r.reply != nil {
 		a.status = r.reply.status
-	} else {
-		a.result = fault.Of(r.err).String()
 	}
 	d.call.attempts = append(d.call.attempts, a)
 }
 
+// describe returns the log of an attempt as of now.
+func (d *dispatch) describe(index int, result string) attemptLog {
+	b := d.begun[index]
+	return attemptLog{
+		server: d.tried[index].Addr(), weight: b.weight,
+		begun: b.start.Sub(d.start), took: time.Since(b.start), result: result,
+	}
+}
+
 // logRequest writes the line of a request. A request that its first attempt
 // answered with success is written at level debug only, which bounds the volume to
 // what went wrong.
 func (h *Handler) logRequest(id string, start time.Time, c *call, err error) {
 	event := h.opts.Log.Debug()
 	switch {
-	case err != nil, c.status >= 500, len(c.attempts) > 1:
+	case err != nil, c.status >= http.StatusInternalServerError, len(c.attempts) > 1:
 		event = h.opts.Log.Info()
 	}
 	event = event.Str("id", id).Dur("took", time.Since(start))
