--- /dev/null
+++ b/member/events_test.go
@@ -0,0 +1,46 @@
+package member
+
+import (
+	"testing"
+
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+// Guards against VMs of a small fleet that do not reach each other in one hop.
+func TestSmallFleetIsLinkedFully(t *testing.T) {
+	for _, c := range []struct{ members, mesh, want int }{
+		{18, 24, 17},
+		{18, 0, peersPerVM},
+		{60, 24, peersPerVM},
+		{3, 24, 2},
+	} {
+		v, _ := viewWithLink(c.members)
+		v.mesh, v.rechoose = c.mesh, true
+		v.choose(testStart)
+		if got := len(v.Peers()); got != c.want {
+			t.Errorf("%d members, mesh of %d: %d peers, want %d", c.members, c.mesh, got, c.want)
+		}
+	}
+}
+
+// Guards against events that are sent twice, or that gather without bound on a link
+// that is behind.
+func TestEventsAreSentOnce(t *testing.T) {
+	v, id := viewWithLink(3)
+	for range 2 {
+		v.Tell([]*wire.Event{{Server: 7, Good: 2, Bad: 1}, {Server: 9, Good: 1}})
+	}
+	got := v.Compose(testStart, id, 0).GetEvents()
+	if len(got) != 2 || got[0].GetServer() != 7 || got[0].GetGood() != 4 || got[0].GetBad() != 2 {
+		t.Errorf("events %v", got)
+	}
+	if again := v.Compose(testStart, id, 0).GetEvents(); len(again) != 0 {
+		t.Errorf("sent again: %v", again)
+	}
+	for n := range uint32(2 * maxEvents) {
+		v.Tell([]*wire.Event{{Server: n}})
+	}
+	if got := len(v.Compose(testStart, id, 0).GetEvents()); got != maxEvents {
+		t.Errorf("%d events wait, want %d", got, maxEvents)
+	}
+}
