--- a/caller/caller.go
+++ b/caller/caller.go
@@ -144,13 +144,6 @@
 // the last one of its connection, unless further requests have been read.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Open returns how many connections are open.
-func (s *Server) Open() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.conns)
-}
-
 // Shutdown closes connections that have no request, now and as their requests
 // end, and returns when none is left. It returns the error of ctx when that ends
 // first. Close the listener before it.
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -126,6 +126,11 @@
 func (c *conn) idleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.armIdle()
+}
+
+// armIdle is idleDeadline for callers that hold the lock.
+func (c *conn) armIdle() {
 	if !c.closing {
 		_ = c.net.SetReadDeadline(time.Now().Add(c.server.Limits().Idle))
 	}
@@ -250,8 +255,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.running--
-	if c.running == 0 && !c.busy && !c.closing {
-		_ = c.net.SetReadDeadline(time.Now().Add(c.server.Limits().Idle))
+	if c.running == 0 && !c.busy {
+		c.armIdle()
 	}
 }
 
@@ -275,6 +280,13 @@
 	_ = c.net.SetReadDeadline(time.Unix(1, 0)) // The past: a read that waits ends now.
 }
 
+// stop is end for callers that do not hold the lock.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+}
+
 // closeIdle ends the connection when no request runs or is being read.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
@@ -287,9 +299,7 @@
 // abort breaks the connection off: a response that cannot be completed must not
 // look whole.
 func (c *conn) abort() {
-	c.mu.Lock()
-	c.end()
-	c.mu.Unlock()
+	c.stop()
 	_ = c.net.Close()
 	c.cancel()
 }
--- a/caller/response.go
+++ b/caller/response.go
@@ -162,8 +162,6 @@
 		return
 	}
 	if w.last {
-		w.conn.mu.Lock()
-		w.conn.end()
-		w.conn.mu.Unlock()
+		w.conn.stop()
 	}
 }
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -82,31 +82,26 @@
 func (v *VM) newProxy(do.Injector) (*proxy.Handler, error) {
 	// These two serve every request, so they are looked up once.
 	control := part[*board.Board](v)
-	var once func(context.Context, idem.Call, idem.Run) (*idem.Answer, error)
-	if v.opts.Source == nil {
-		once = part[*idem.Guard](v).Do
-	}
-	zone, connect := "", time.Duration(0)
-	if v.opts.Source != nil {
-		// Bytes between zones are dear, and with the profile switch all VMs share what
-		// each sees. Without it there is no preference: VMs in a slow zone would see
-		// little of the others and eject its servers (replay traces zone and stall).
-		zone = v.settings.Zone
-		connect = connectTime
-	}
-	return proxy.New(proxy.Options{
-		Zone:           zone,
-		Connect:        connect,
+	opts := proxy.Options{
 		Dialect:        v.opts.Dialect,
 		Seed:           v.incarnation,
 		AnonymousRate:  v.settings.Limits.Rate,
 		AnonymousBurst: v.settings.Limits.Burst,
 		BodyTime:       v.settings.Limits.Read.Std(),
 		Sample:         func(s board.Sample) { control.Post(s) },
-		Once:           once,
 		Metrics:        part[*metrics.Set](v),
 		Log:            v.log,
-	}), nil
+	}
+	if v.opts.Source == nil {
+		opts.Once = part[*idem.Guard](v).Do
+	} else {
+		// Bytes between zones are dear, and with the profile switch all VMs share what
+		// each sees. Without it there is no preference: VMs in a slow zone would see
+		// little of the others and eject its servers (replay traces zone and stall).
+		opts.Zone = v.settings.Zone
+		opts.Connect = connectTime
+	}
+	return proxy.New(opts), nil
 }
 
 func (v *VM) newPeer(do.Injector) (*peer.Peer, error) {
@@ -116,13 +111,12 @@
 	}
 	members := func() *member.Service { return part[*member.Service](v) }
 	opts := peer.Options{
-		Key:     []byte(v.settings.Peer.Secret),
-		CA:      files[0],
-		Cert:    files[1],
-		CertKey: files[2],
-		Self:    func() *wire.Member { return members().Record() },
-		Listen:  func() (net.Listener, error) { return v.listeners.peer, nil },
-
+		Key:         []byte(v.settings.Peer.Secret),
+		CA:          files[0],
+		Cert:        files[1],
+		CertKey:     files[2],
+		Self:        func() *wire.Member { return members().Record() },
+		Listen:      func() (net.Listener, error) { return v.listeners.peer, nil },
 		OnHeartbeat: func(l *peer.Link, h *wire.Heartbeat) { members().OnHeartbeat(l, h) },
 		OnLink:      func(l *peer.Link, up bool) { members().OnLink(l, up) },
 		Metrics:     part[*metrics.Set](v),
@@ -295,12 +289,13 @@
 		Token:   v.settings.Admin.Token,
 		Publish: publish,
 		Dump:    func(ctx context.Context) (any, error) { return v.Dump(ctx) },
-		Ready:   v.ready,
+		Ready:   v.Ready,
 		Gauges:  func(w http.ResponseWriter) { part[*metrics.Set](v).WritePrometheus(w) },
 	})}, nil
 }
 
-func (v *VM) ready() error {
+// Ready returns nil when the VM takes callers, and otherwise the reason.
+func (v *VM) Ready() error {
 	if v.Generation() == 0 {
 		return fault.New(fault.NotReady, "no release yet")
 	}
@@ -313,7 +308,7 @@
 func (v *VM) newCallers() *callers {
 	keys := part[*idem.Keys](v)
 	return &callers{
-		addresses: v.addresses,
+		addresses: v.Addresses,
 		issue: func(count int) []string {
 			return lo.Times(count, func(int) string { return keys.Issue(time.Now()) })
 		},
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -63,9 +63,9 @@
 	return out, nil
 }
 
-// addresses answers which VMs a caller in the given zone should use: nearest zone
+// Addresses answers which VMs a caller in the given zone should use: nearest zone
 // first, VMs that are leaving or suspected left out.
-func (v *VM) addresses(zone string) []Address {
+func (v *VM) Addresses(zone string) []Address {
 	if zone == "" {
 		zone = v.settings.Zone
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -161,13 +161,6 @@
 	return group.Wait()
 }
 
-// Addresses returns the VMs that a caller in the given zone should use, nearest
-// first.
-func (v *VM) Addresses(zone string) []Address { return v.addresses(zone) }
-
-// Ready returns nil when the VM takes callers, and otherwise the reason.
-func (v *VM) Ready() error { return v.ready() }
-
 // Alive returns how many VMs this one holds for alive, itself included.
 func (v *VM) Alive() int { return len(part[*member.Service](v).Snapshot().Alive()) }
 
--- a/entry/monitor.go
+++ b/entry/monitor.go
@@ -108,6 +108,11 @@
 // other VMs.
 func (m *monitor) spread(now time.Time, name string, w *watched) {
 	m.decide(now, name, w)
+	m.tellOf(w)
+}
+
+// tellOf tells other VMs what this one saw of a service since the last time.
+func (m *monitor) tellOf(w *watched) {
 	if events, urgent := w.group.Events(); len(events) > 0 {
 		m.tell(wireEvents(events), urgent)
 	}
@@ -159,9 +164,7 @@
 	}
 	if m.steps++; m.steps%reportSteps == 0 {
 		for _, name := range m.order {
-			if events, urgent := m.watched[name].group.Events(); len(events) > 0 {
-				m.tell(wireEvents(events), urgent)
-			}
+			m.tellOf(m.watched[name])
 		}
 		reports := m.reports(now)
 		m.latest.Store(&reports)
--- a/health/belief.go
+++ b/health/belief.go
@@ -149,10 +149,10 @@
 	return h.Sum32()
 }
 
-// pathOutcome reports whether an outcome can also come from the path between
-// this VM and the server.
+// pathOutcome reports whether an outcome after bytes were sent can also come from the
+// path between this VM and the server.
 func pathOutcome(o board.Outcome) bool {
-	return o == board.Unreachable || o == board.Late || o == board.Canceled
+	return o == board.Late || o == board.Canceled
 }
 
 // believe takes in how one attempt of this VM ended. What the path alone can
@@ -165,6 +165,9 @@
 	case board.Shed:
 		r.fleet.weigh(now, &serverChain, shedRatio)
 		return
+	case board.Unreachable:
+		r.path.see(now, &pathChain, 0, 1)
+		return
 	case board.Success:
 		slow := g.Slow()
 		r.learn(s.Took)
@@ -182,10 +185,6 @@
 	default:
 		bad = 1
 	}
-	if s.Outcome == board.Unreachable {
-		r.path.see(now, &pathChain, 0, 1)
-		return
-	}
 	if good > 0 {
 		r.path.see(now, &pathChain, good, 0)
 	} else if pathOutcome(s.Outcome) {
@@ -199,14 +198,13 @@
 // Hear takes in an event of another VM and reports whether it is about a server of
 // the group.
 func (g *Group) Hear(now time.Time, e Event) bool {
-	for _, r := range g.records {
-		if r.news.server == e.server {
-			r.fleet.see(now, &serverChain, e.good, e.bad)
-			r.heard.add(now, e.good)
-			return true
-		}
+	r := g.byKey[e.server]
+	if r == nil {
+		return false
 	}
-	return false
+	r.fleet.see(now, &serverChain, e.good, e.bad)
+	r.heard.add(now, e.good)
+	return true
 }
 
 // Events returns what this VM saw since the last call. urgent reports whether
--- a/health/decide.go
+++ b/health/decide.go
@@ -74,12 +74,11 @@
 // reused by the next call.
 func (g *Group) Decide(now time.Time) []Decision {
 	g.refresh(now)
-	g.decidedAt = now
 	if g.policy.switching {
 		for _, r := range g.records {
 			g.decideSwitching(now, r)
 		}
-		return g.decided()
+		return g.decided(now)
 	}
 	for _, r := range g.records {
 		r.count(now, g.policy.window)
@@ -91,15 +90,15 @@
 		r.setWeight(now)
 	}
 	g.keepFloor(now)
-	return g.decided()
+	return g.decided(now)
 }
 
 // decided returns the decisions as they stand.
-func (g *Group) decided() []Decision {
+func (g *Group) decided(now time.Time) []Decision {
 	g.decisions = g.decisions[:0]
 	for _, r := range g.records {
 		g.decisions = append(g.decisions, Decision{
-			server: r.addr, state: r.state, weight: r.weight, others: r.others(g.decidedAt, g.base.median), reason: r.reason,
+			server: r.addr, state: r.state, weight: r.weight, others: r.others(now, g.base.median), reason: r.reason,
 		})
 	}
 	return g.decisions
--- a/health/health.go
+++ b/health/health.go
@@ -97,11 +97,11 @@
 	started   bool
 	records   []*record // In the order of Set, which fixes every iteration.
 	index     map[string]int
+	byKey     map[uint32]*record // By the number that stands for the server in events.
 	base      baseline
 	zones     []zoneCount
 	sharedAt  time.Time // Last time with a shared cause.
 	decisions []Decision
-	decidedAt time.Time
 	order     []int // Scratch for the floor and the baseline.
 }
 
@@ -145,6 +145,10 @@
 		records = append(records, r)
 	}
 	g.records, g.index, g.floor = records, index, floor
+	g.byKey = make(map[uint32]*record, len(records))
+	for _, r := range records {
+		g.byKey[r.news.server] = r
+	}
 	g.started = g.started || len(records) > 0
 	g.countZones()
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -286,7 +286,7 @@
 	switch {
 	case err == nil:
 		err = h.answer(w, r, c)
-	case h.opts.Dialect.Key != "" && mayHaveRun(r, err):
+	case h.mayHaveRun(r, err):
 		refuse = fault.WriteUnsure
 	}
 	if err == nil {
@@ -302,8 +302,9 @@
 // mayHaveRun reports whether an earlier request with the key of r may have run,
 // when r was refused before its key was looked up. A key that is missing or
 // malformed never ran.
-func mayHaveRun(r *http.Request, err error) bool {
-	if r.Header.Get(HeaderKey) == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
+func (h *Handler) mayHaveRun(r *http.Request, err error) bool {
+	key := h.opts.Dialect.Key
+	if key == "" || r.Header.Get(key) == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
 		return false
 	}
 	return fault.Of(err) != fault.KeyInvalid
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -88,15 +88,11 @@
 func (r *Route) Idempotent() bool { return r.idempotent }
 
 func newRoute(n *note.Route) *Route {
-	attempts := n.Attempts
-	if attempts <= 0 {
-		attempts = attemptsMost
-	}
 	return &Route{
 		name:       n.Name,
 		service:    n.Service,
 		split:      newSplit(n.Split),
-		attempts:   attempts,
+		attempts:   orDefault(n.Attempts, attemptsMost),
 		methods:    n.Methods,
 		idempotent: n.Idempotent,
 		keyed:      !n.Idempotent && n.Key != note.KeyOptional,
