health: two VMs must have seen recent failures before an ejection

The other VMs had sent nothing there since, so they reported nothing on it; without a fresh report on the server a VM took itself for alone and skipped the rule that two VMs must agree, and the failures of the stall still counted.

Now a VM counts as alone when no VM has reported on any server for 10 s, and the failures that justify an ejection must be of exchanges younger than 3 s.

--- a/health/decide.go
+++ b/health/decide.go
@@ -8,29 +8,34 @@
 )
 
 const (
-	reducedWeight   = 0.1
-	trialWeight     = 0.05
-	trialMost       = 0.1  // Share after good exchanges of a trial.
-	pathWeight      = 0.05 // Share where only the path from this VM is suspected.
-	coldWeight      = 0.05
-	startWeight     = 0.2
-	usableWeight    = 0.5 // Least weight that counts towards the floor.
-	rampTime        = 6 * time.Second
-	levelHalfLife   = 4 * time.Second
-	flapHalfLife    = 2 * time.Minute
-	ejectionMost    = 5 * time.Minute
-	sharedShare     = 0.4 // Suspects above this share of the servers are a shared cause.
-	sharedRate      = 0.2 // Share of bad exchanges of the typical server, likewise.
-	sharedHold      = 5 * time.Second
-	suspectHold     = 10 * time.Second
-	zoneShare       = 0.6              // The same within one zone.
-	recentEjection  = 0.5              // Decayed count of ejections.
-	probeTrust      = 30 * time.Second // A failing probe delays a trial by this at most.
-	failureGap      = 10 * time.Second
-	pathPasses      = 2               // Good exchanges that clear a suspected path.
-	failureAge      = 3 * time.Second // Older failures justify no ejection.
-	retrialFailures = 3               // Failed exchanges of a trial that end it.
-	twoOrigins      = 2               // VMs that must agree on an ejection where there are peers.
+	reducedWeight  = 0.1
+	trialWeight    = 0.05
+	trialMost      = 0.1  // Share after good exchanges of a trial.
+	pathWeight     = 0.05 // Share where only the path from this VM is suspected.
+	coldWeight     = 0.05
+	startWeight    = 0.2
+	usableWeight   = 0.5 // Least weight that counts towards the floor.
+	rampTime       = 6 * time.Second
+	levelHalfLife  = 4 * time.Second
+	flapHalfLife   = 2 * time.Minute
+	ejectionMost   = 5 * time.Minute
+	sharedShare    = 0.4 // Suspects above this share of the servers are a shared cause.
+	sharedRate     = 0.2 // Share of bad exchanges of the typical server, likewise.
+	sharedHold     = 5 * time.Second
+	suspectHold    = 10 * time.Second
+	zoneShare      = 0.6              // The same within one zone.
+	recentEjection = 0.5              // Decayed count of ejections.
+	probeTrust     = 30 * time.Second // A failing probe delays a trial by this at most.
+	failureGap     = 10 * time.Second
+	pathPasses     = 2 // Good exchanges that clear a suspected path.
+	// failureAge is the age of exchanges whose failure justifies no ejection any more.
+	// An exchange that began in a stall can fail seconds after the server works again.
+	failureAge      = 3 * time.Second
+	retrialFailures = 3 // Failed exchanges of a trial that end it.
+	// peersHold is how long after the last report of any VM this one counts on others to
+	// confirm an ejection. Those that send no request to the server report nothing on it.
+	peersHold  = 10 * time.Second
+	twoOrigins = 2 // VMs that must agree on an ejection where there are peers.
 )
 
 // zoneCount counts the servers of a zone.
@@ -355,12 +360,22 @@
 	if g.zoneCause(r.zoneIndex) || r.local() {
 		return false
 	}
-	if r.tally.voices > 0 && r.witnesses() < twoOrigins {
+	if r.tally.voices > 0 && r.witnesses(time.Time{}) < twoOrigins {
 		return false
 	}
 	return r.failed >= least && r.failed > 2*r.passed
 }
 
+// stillFailing reports whether a trial ends with an ejection: its newest exchanges
+// failed, and where there are peers two VMs saw it.
+func (g *Group) stillFailing(now time.Time, r *record) bool {
+	if !g.failing(r, retrialFailures) || !r.failedAt.After(r.passedAt) || now.Sub(r.failedAt) >= failureAge {
+		return false
+	}
+	alone := now.Sub(g.heardAt) >= peersHold
+	return alone || r.witnesses(now.Add(-failureAge)) >= twoOrigins
+}
+
 // returns reports whether enough exchanges of the current state were good.
 func (r *record) returns(p Policy) bool {
 	need := p.passes
@@ -385,7 +400,7 @@
 	case r.returns(g.policy):
 		r.restart(now, "trial passed")
 	case now.Sub(r.since) < wait:
-	case g.failing(r, retrialFailures) && r.failedAt.After(r.passedAt) && now.Sub(r.failedAt) < failureAge:
+	case g.stillFailing(now, r):
 		g.eject(now, r)
 	case r.failuresAreOld(now):
 		r.recount(now)
--- a/health/fleet_test.go
+++ b/health/fleet_test.go
@@ -25,6 +25,8 @@
 	links   func(from, to int) bool
 	// behave says how a request ends that starts now.
 	behave func(vm, server int, since time.Duration) (board.Outcome, time.Duration)
+	// sends says whether a VM sends requests to a server; nil for always.
+	sends func(vm, server int, since time.Duration) bool
 	// seen is called with every decision.
 	seen    func(vm int, since time.Duration, d Decision)
 	flying  []flying
@@ -94,6 +96,9 @@
 			if (f.ticks+vm+i)%10 != 0 || f.states[vm] != nil && f.states[vm][i].Weight() == 0 {
 				continue
 			}
+			if f.sends != nil && !f.sends(vm, i, since) {
+				continue
+			}
 			out, took := f.behave(vm, i, since)
 			if deadline := 2 * time.Second; took > deadline {
 				out, took = board.Late, deadline
@@ -182,3 +187,24 @@
 	f.run(20 * time.Second)
 	return f
 }
+
+// Guards against an ejection of a server that works again after a stall, on one natural
+// slow exchange that one VM sees seconds later. The other VMs send nothing there in that
+// time, and their silence must not stand for consent.
+func TestNoEjectionAfterStall(t *testing.T) {
+	t.Parallel()
+	const stall, slow = 12 * time.Second, 20 * time.Second
+	f := warmFleet(8, 10, 2, 6, note.ProfileSteady)
+	f.behave = func(vm, server int, since time.Duration) (board.Outcome, time.Duration) {
+		stalled := since < stall || vm == 3 && since > slow && since < slow+time.Second
+		if server == 0 && stalled {
+			return board.Success, forever
+		}
+		return board.Success, normal
+	}
+	f.sends = func(vm, server int, since time.Duration) bool {
+		return server != 0 || since < stall || vm == 3 && since > slow
+	}
+	f.forbid(t, Ejected, anyServer)
+	f.run(slow + 6*time.Second)
+}
--- a/health/health.go
+++ b/health/health.go
@@ -101,6 +101,7 @@
 	base      baseline
 	zones     []zoneCount
 	sharedAt  time.Time // Last time with a shared cause.
+	heardAt   time.Time // When another VM last reported on any server.
 	decisions []Decision
 	order     []int // Scratch for the floor and the baseline.
 }
@@ -223,7 +224,7 @@
 	r.bucket(now, g.policy.window).bad += count
 	if s.Start.After(r.since) {
 		r.fail(now, 1)
-		r.ownFail = true
+		r.ownFail = failure{from: s.Start, to: now}
 	}
 	g.weigh(now, r, float64(count)*g.base.bad)
 }
--- a/health/record.go
+++ b/health/record.go
@@ -42,7 +42,7 @@
 	passedAt time.Time
 	failedAt time.Time
 	failFrom time.Time // Start of the current run of failures.
-	ownFail  bool      // This VM has seen one of the failed exchanges.
+	ownFail  failure   // Last of the failed exchanges that this VM saw.
 	mine     bool      // Only the exchanges of this VM count: the cause is on its path.
 
 	// What the server states about itself, and probes.
@@ -183,14 +183,14 @@
 func (r *record) enter(now time.Time, s State, reason string) {
 	r.state, r.since, r.reason = s, now, reason
 	r.passedAt, r.failedAt, r.failFrom = time.Time{}, time.Time{}, time.Time{}
-	r.passed, r.failed, r.ownFail, r.mine = 0, 0, false, false
+	r.passed, r.failed, r.ownFail, r.mine = 0, 0, failure{}, false
 }
 
 // fail counts failures that began in the current state. A gap starts a new run:
 // natural failures of different times do not add up to an ejection.
 func (r *record) fail(at time.Time, n int) {
 	if at.Sub(r.failedAt) > failureGap {
-		r.failed, r.ownFail, r.failFrom = 0, false, at
+		r.failed, r.ownFail, r.failFrom = 0, failure{}, at
 	}
 	r.failed += n
 	if at.After(r.failedAt) {
--- a/health/share.go
+++ b/health/share.go
@@ -20,7 +20,7 @@
 	origin  uint64
 	at      time.Time // When the evidence was gathered.
 	counted time.Time // Last evidence that counted for the current state.
-	failed  time.Time // Last of it with bad exchanges.
+	failed  failure   // Last of it with bad exchanges.
 	Report
 }
 
@@ -34,6 +34,9 @@
 // for the origin of a report that has none.
 func (g *Group) Merge(now time.Time, from string, reports []Report) {
 	for _, p := range reports {
+		if p.origin != g.origin {
+			g.heardAt = now
+		}
 		r := g.record(p.server)
 		if r == nil || (p.origin != 0 && p.origin == g.origin) {
 			continue
@@ -76,7 +79,7 @@
 		}
 		if n := int(min(p.bad+p.stalled, originLimit)); n > 0 {
 			r.fail(at, n)
-			w.failed = at
+			w.failed = failure{from: from, to: at}
 		}
 	}
 }
@@ -218,17 +221,23 @@
 	return out
 }
 
-// witnesses returns how many VMs saw the current run of failures.
-func (r *record) witnesses() int {
+// failure is when a VM saw failed exchanges: they began after from and had ended, or
+// were overdue, by to.
+type failure struct{ from, to time.Time }
+
+// witnesses returns how many VMs saw exchanges of the current run of failures that
+// began after from.
+func (r *record) witnesses(from time.Time) int {
 	if r.failed == 0 {
 		return 0
 	}
+	saw := func(f failure) bool { return !f.to.Before(r.failFrom) && !f.from.Before(from) }
 	n := 0
-	if r.ownFail {
+	if saw(r.ownFail) {
 		n++
 	}
 	for i := range r.words {
-		if !r.words[i].failed.Before(r.failFrom) {
+		if saw(r.words[i].failed) {
 			n++
 		}
 	}
