--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -243,14 +243,27 @@
 	}
 }
 
-// applyRelease puts a release into effect: routes first, so that callers of new
-// routes are served, then the health decisions.
+// applyRelease puts a release into effect.
 func (v *VM) applyRelease(ctx context.Context, rel *note.Release) {
-	local := localize(rel, v.settings.Name)
-	part[*proxy.Handler](v).SetRelease(local)
+	v.local.Lock()
+	defer v.local.Unlock()
+	v.release = rel
+	v.putRelease(ctx)
+	v.log.Info().Uint64("generation", rel.Generation()).Msg("release in effect")
+}
+
+// putRelease puts the part of the release that this VM uses into effect: routes first,
+// so that callers of new routes are served, then the health decisions. The caller holds
+// local.
+func (v *VM) putRelease(ctx context.Context) {
+	local := localize(v.release, v.place)
+	handler := part[*proxy.Handler](v)
+	handler.SetRelease(local)
+	for _, s := range v.release.Services() {
+		handler.SetHome(s.Name, v.place.home(s))
+	}
 	_ = part[*board.Board](v).Do(ctx, func(now time.Time) { v.health.setRelease(now, local) })
 	v.probes.set(local.Services())
-	v.log.Info().Uint64("generation", rel.Generation()).Msg("release in effect")
 }
 
 func (v *VM) newPublisher(do.Injector) (*deploy.Publisher, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,10 @@
 	released    chan struct{}  // Closed with the first release.
 	drain       chan struct{}
 	drainOnce   sync.Once
+
+	local   sync.Mutex // Held while a release or a place is put into effect.
+	release *note.Release
+	place   place
 }
 
 // listeners are open from New on, so that the addresses are known when settings
@@ -84,6 +88,7 @@
 		log:         opts.Log.With().Str("vm", settings.Name).Logger(),
 		incarnation: opts.Incarnation,
 		drain:       make(chan struct{}),
+		place:       place{vm: settings.Name, zone: settings.Zone},
 	}
 	if v.incarnation == 0 {
 		v.incarnation = newIncarnation(time.Now())
@@ -185,6 +190,7 @@
 	group.Go(func() error { return v.join(work) })
 	if v.opts.Source != nil {
 		group.Go(func() error { return v.opts.Source(work, v.apply(work)) })
+		group.Go(func() error { return v.followPlace(work) })
 	} else {
 		group.Go(func() error { return part[*deploy.Follower](v).Run(work) })
 		group.Go(func() error { return v.watchHolders(work) })
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -21,27 +21,57 @@
 	// first users, so that each of their few VMs sees all of them.
 	subsetSize   = 24
 	holdersCheck = time.Second
+	placeCheck   = time.Second
 )
 
-// localize returns the release with the backend servers that the named VM uses.
-func localize(rel *note.Release, vm string) *note.Release {
+// place is where a VM stands among the VMs of its availability zone, by which the backend
+// servers of the zone are divided among them. The zero place has no part.
+type place struct {
+	vm           string
+	zone         string
+	index, count int
+}
+
+// home returns the addresses of the servers of s that fall to the place: an even part of
+// those in its zone, at least one, so that with fewer servers than VMs some share one.
+func (p place) home(s note.Service) []string {
+	var zone []string
+	for _, b := range s.Servers {
+		if b.Zone == p.zone && !b.Leaving {
+			zone = append(zone, b.Addr)
+		}
+	}
+	if p.count == 0 || len(zone) == 0 {
+		return nil
+	}
+	slices.Sort(zone)
+	from := p.index * len(zone) / p.count
+	to := max(from+1, (p.index+1)*len(zone)/p.count)
+	return zone[from:to]
+}
+
+// localize returns the release with the backend servers that the VM uses.
+func localize(rel *note.Release, p place) *note.Release {
 	services := lo.Map(rel.Services(), func(s note.Service, _ int) note.Service {
-		s.Servers = subset(s, vm)
+		s.Servers = subset(s, p)
 		return s
 	})
 	return note.NewRelease(rel.Generation(), services, rel.Routes(), rel.Accounts())
 }
 
-func subset(s note.Service, vm string) []note.Server {
+func subset(s note.Service, p place) []note.Server {
 	if len(s.Servers) <= subsetSize {
 		return s.Servers
 	}
 	targets := lo.Map(s.Servers, func(b note.Server, _ int) *pick.Target {
 		return pick.NewTarget(b.Addr, b.Zone, b.Slots)
 	})
-	chosen := lo.SliceToMap(pick.Subset(vm, targets, subsetSize, s.Floor), func(t *pick.Target) (string, bool) {
+	chosen := lo.SliceToMap(pick.Subset(p.vm, targets, subsetSize, s.Floor), func(t *pick.Target) (string, bool) {
 		return t.Addr(), true
 	})
+	for _, addr := range p.home(s) {
+		chosen[addr] = true
+	}
 	return lo.Filter(s.Servers, func(b note.Server, _ int) bool { return chosen[b.Addr] })
 }
 
@@ -61,6 +91,38 @@
 	}
 }
 
+// followPlace keeps the traffic told which backend servers fall to this VM.
+func (v *VM) followPlace(ctx context.Context) error {
+	for {
+		zone := lo.FilterMap(part[*member.Service](v).Snapshot().Alive(), func(m member.Member, _ int) (string, bool) {
+			return m.ID(), m.Zone() == v.settings.Zone
+		})
+		slices.Sort(zone)
+		next := place{vm: v.settings.Name, zone: v.settings.Zone}
+		if i, ok := slices.BinarySearch(zone, v.settings.Name); ok {
+			next.index, next.count = i, len(zone)
+		}
+		v.setPlace(ctx, next)
+		if !sleep.For(ctx, placeCheck) {
+			return ctx.Err()
+		}
+	}
+}
+
+// setPlace divides the backend servers anew when the place has changed.
+func (v *VM) setPlace(ctx context.Context, next place) {
+	v.local.Lock()
+	defer v.local.Unlock()
+	if v.place == next {
+		return
+	}
+	v.place = next
+	v.log.Info().Int("index", next.index).Int("vms", next.count).Msg("place among the VMs of the zone changed")
+	if v.release != nil {
+		v.putRelease(ctx)
+	}
+}
+
 // probes runs one prober loop for each service; a service that a release leaves
 // alone keeps its loop, so that frequent releases do not stop the probing.
 type probes struct {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -72,6 +72,9 @@
 	// that of the other choice. Below 2, a target of the own zone with one
 	// request in flight loses to an idle one elsewhere.
 	zoneSlack = 1.5
+	// roamShare is the share of choices among all targets whatever room the home ones
+	// have, so that a target whose own VM is away gets requests all the same.
+	roamShare = 0.15
 	// drawTries bounds rejection sampling; after that a scan decides.
 	drawTries = 8
 )
@@ -80,6 +83,7 @@
 type view struct {
 	all      []*Target
 	own      []*Target // Those in the zone of the VM.
+	home     []*Target // Those that this VM fills first.
 	maxSlots int
 }
 
@@ -90,6 +94,7 @@
 	seed  uint64
 	picks atomic.Uint64 // Numbers the calls; each draws from its own sequence.
 	view  atomic.Pointer[view]
+	home  map[string]bool // Addresses of the targets that this VM fills first.
 }
 
 // New returns a picker for a VM in the given zone; seed fixes its choices.
@@ -97,6 +102,16 @@
 	return &Picker{zone: zone, seed: seed}
 }
 
+// SetHome replaces the targets, by address, that this VM fills first. It must not be
+// called at the same time as Set.
+func (p *Picker) SetHome(addrs []string) {
+	p.home = make(map[string]bool, len(addrs))
+	for _, addr := range addrs {
+		p.home[addr] = true
+	}
+	p.Set(p.Targets())
+}
+
 // Set replaces the targets.
 func (p *Picker) Set(targets []*Target) {
 	v := &view{all: targets}
@@ -105,6 +120,9 @@
 		if t.zone == p.zone {
 			v.own = append(v.own, t)
 		}
+		if p.home[t.addr] {
+			v.home = append(v.home, t)
+		}
 	}
 	p.view.Store(v)
 }
@@ -123,8 +141,9 @@
 
 // Pick returns a target that is not among tried, or nil when none has weight.
 //
-// It draws two targets with probability proportional to their capacity and
-// returns the less loaded one, so a target with a reduced weight still gets its
+// Mostly a home target comes first while it has room: the VM knows what is in flight
+// there, as the others go elsewhere, and its requests come often enough to show early when
+// the backend server fails. Otherwise it draws two targets with probability proportional to their capacity and returns the less loaded one, so a target with a reduced weight still gets its
 // reduced share while the VM is idle. When the first draw is in another zone,
 // the second is from the zone of the VM.
 func (p *Picker) Pick(tried []*Target) *Target { return p.pick(filter{tried: tried}) }
@@ -145,6 +164,11 @@
 		return nil
 	}
 	r := sequence(mix(p.seed ^ mix(p.picks.Add(1))))
+	if len(v.home) > 0 && r.float() >= roamShare {
+		if t := v.homeRoom(&r, f); t != nil {
+			return t
+		}
+	}
 	a := v.draw(&r, v.all, f)
 	if a == nil {
 		return nil
@@ -157,6 +181,24 @@
 	return p.better(a, b)
 }
 
+// homeRoom returns the less loaded of two home targets, drawn with probability
+// proportional to their capacity, when it has room for one more request, or nil. The
+// least loaded of all would leave targets with a reduced weight without requests.
+func (v *view) homeRoom(r *sequence, f filter) *Target {
+	a := v.draw(r, v.home, f)
+	if a == nil {
+		return nil
+	}
+	f.not = a
+	if b := v.draw(r, v.home, f); b != nil && b.load() < a.load() {
+		a = b
+	}
+	if a.loadNext() > 1 {
+		return nil
+	}
+	return a
+}
+
 // second draws the second choice; the first is left out by f.
 func (p *Picker) second(v *view, r *sequence, f filter) *Target {
 	if f.not.zone != p.zone {
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -281,3 +281,39 @@
 		t.Errorf("picked %v, want the suspected server when there is no other", got)
 	}
 }
+
+// Guards against a home target with a reduced weight that gets no request while the others
+// have room, and against requests that stay with the home targets beyond their room.
+func TestHome(t *testing.T) {
+	list := targets(30, 3, 0)
+	home := list[:3]
+	home[2].SetWeight(0.4)
+	p := pick.New("z1", testSeed)
+	p.Set(list)
+	p.SetHome([]string{home[0].Addr(), home[1].Addr(), home[2].Addr()})
+	const picks = 1000
+	counts := map[*pick.Target]int{}
+	for range picks {
+		counts[p.Pick(nil)]++
+	}
+	if n := counts[home[0]] + counts[home[1]] + counts[home[2]]; n < picks*8/10 || n == picks {
+		t.Errorf("%d of %d requests at home", n, picks)
+	}
+	if counts[home[2]] < picks/20 {
+		t.Errorf("the home target with a reduced weight got %d of %d requests", counts[home[2]], picks)
+	}
+	for range 3 {
+		for _, target := range home {
+			target.Begin()
+		}
+	}
+	away := 0
+	for range picks {
+		if !slices.Contains(home, p.Pick(nil)) {
+			away++
+		}
+	}
+	if away < picks*8/10 {
+		t.Errorf("%d of %d requests away from home targets without room", away, picks)
+	}
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -74,7 +74,7 @@
 // Handler serves callers.
 type Handler struct {
 	opts  Options
-	mu    sync.Mutex // Held by SetRelease and SetWeights.
+	mu    sync.Mutex // Held by SetRelease, SetWeights and SetHome.
 	state atomic.Pointer[state]
 	rates *limit.Rates
 	count *counters // Of requests that have no service.
@@ -192,6 +192,15 @@
 	s.makeRoom()
 }
 
+// SetHome sets the backend servers of a service, by address, that this VM fills first.
+func (h *Handler) SetHome(name string, addrs []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if st := h.state.Load(); st != nil && st.services[name] != nil {
+		st.services[name].picker.SetHome(addrs)
+	}
+}
+
 // SetOthers sets how many requests of other VMs backend servers of a service are
 // expected to have in flight, by address.
 func (h *Handler) SetOthers(name string, others map[string]float64) {
