--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -21,7 +21,7 @@
 	// first users, so that each of their few VMs sees all of them.
 	subsetSize   = 24
 	holdersCheck = time.Second
-	placeCheck   = time.Second
+	placeCheck   = time.Second // Members are suspected after 2 s.
 )
 
 // place is where a VM stands among the VMs of its availability zone, by which the backend
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -143,9 +143,10 @@
 //
 // Mostly a home target comes first while it has room: the VM knows what is in flight
 // there, as the others go elsewhere, and its requests come often enough to show early when
-// the backend server fails. Otherwise it draws two targets with probability proportional to their capacity and returns the less loaded one, so a target with a reduced weight still gets its
-// reduced share while the VM is idle. When the first draw is in another zone,
-// the second is from the zone of the VM.
+// the backend server fails. Otherwise it draws two targets with probability proportional
+// to their capacity and returns the less loaded one, so a target with a reduced weight
+// still gets its reduced share while the VM is idle. When the first draw is in another
+// zone, the second is from the zone of the VM.
 func (p *Picker) Pick(tried []*Target) *Target { return p.pick(filter{tried: tried}) }
 
 // PickSteady is Pick for requests that must not run twice. It avoids targets
