board: work that waits for the control loop ends with it

Cause: reports and events of a heartbeat that arrives in a shutdown are handed to the control loop with a context that does not end; the loop had ended, the call waited in its buffer for good, and the end of the VM waited for the link. Ruled out: callers' connections (ended in time) and the store (the last lines show it answering).

board.Do now returns when the loop has ended.

--- a/board/board.go
+++ b/board/board.go
@@ -8,6 +8,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 //go:generate stringer -type=Outcome -output=board_string.go
@@ -80,6 +82,7 @@
 	controllers []Controller
 	samples     chan Sample
 	calls       chan func(now time.Time)
+	ended       chan struct{} // Closed when the control loop has ended.
 	dropped     atomic.Uint64
 	steps       atomic.Uint64
 }
@@ -90,6 +93,7 @@
 		controllers: controllers,
 		samples:     make(chan Sample, sampleRoom),
 		calls:       make(chan func(time.Time), callRoom),
+		ended:       make(chan struct{}),
 	}
 }
 
@@ -111,9 +115,13 @@
 // Steps returns how many ticks the loop has run.
 func (b *Board) Steps() uint64 { return b.steps.Load() }
 
+// errEnded says that the control loop has ended.
+var errEnded = errors.New("the control loop has ended")
+
 // Do runs fn on the control goroutine and waits for it, so that other
 // goroutines can read or change control state without locks. It returns the
-// context's error when that ends first; fn may then still run.
+// context's error when that ends first; fn may then still run. After the end of
+// the loop it returns an error at once.
 func (b *Board) Do(ctx context.Context, fn func(now time.Time)) error {
 	done := make(chan struct{})
 	call := func(now time.Time) {
@@ -122,19 +130,25 @@
 	}
 	select {
 	case b.calls <- call:
+	case <-b.ended:
+		return errEnded
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 	select {
 	case <-done:
 		return nil
+	case <-b.ended:
+		return errEnded
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-// Run is the control loop. It returns the context's error when that ends.
+// Run is the control loop. It returns the context's error when that ends. It is called
+// once.
 func (b *Board) Run(ctx context.Context) error {
+	defer close(b.ended)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
