pick: the only home server comes up by its share too

Cause: a draw always returns a target, so that a VM with one home server, as with 18 VMs and 33 servers, sent 85% of its requests there whatever its weight. Ruled out: calls and bytes (their prices fell).

A draw among home servers may now return none.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -183,16 +183,17 @@
 }
 
 // homeRoom returns the less loaded of two home targets when it has room for one more
-// request, or nil. A target with a reduced weight comes up by its share alone: it is idle
-// because it gets little, and of so few the less loaded one would mostly be it.
+// request, or nil. A target with a reduced weight comes up by its share alone, even when it
+// is the only one: it is idle because it gets little, and of so few the less loaded one
+// would mostly be it.
 func (v *view) homeRoom(r *sequence, f filter) *Target {
-	a := v.draw(r, v.home, f)
+	a := v.drawHome(r, f)
 	if a == nil {
 		return nil
 	}
 	if a.Weight() >= SteadyWeight {
 		f.not = a
-		if b := v.draw(r, v.home, f); b != nil && b.loadNext() < a.loadNext() {
+		if b := v.drawHome(r, f); b != nil && b.loadNext() < a.loadNext() {
 			a = b
 		}
 	}
@@ -202,6 +203,18 @@
 	return a
 }
 
+// drawHome draws a home target with probability proportional to its weight. Unlike draw
+// it may return nil when all weights are low, since there are other targets.
+func (v *view) drawHome(r *sequence, f filter) *Target {
+	for range v.home {
+		t := v.home[r.intn(len(v.home))]
+		if f.takes(t) && r.float() < t.Weight() {
+			return t
+		}
+	}
+	return nil
+}
+
 // second draws the second choice; the first is left out by f.
 func (p *Picker) second(v *view, r *sequence, f filter) *Target {
 	if f.not.zone != p.zone {
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -320,3 +320,23 @@
 		t.Errorf("%d of %d requests away from home targets without room", away, picks)
 	}
 }
+
+// Guards against a VM whose only home target fails and that sends its requests there all
+// the same.
+func TestOnlyHomeFails(t *testing.T) {
+	list := targets(30, 3, 0)
+	list[0].SetWeight(0.05)
+	p := pick.New("z1", testSeed)
+	p.Set(list)
+	p.SetHome([]string{list[0].Addr()})
+	const picks = 1000
+	home := 0
+	for range picks {
+		if p.Pick(nil) == list[0] {
+			home++
+		}
+	}
+	if home > picks/10 {
+		t.Errorf("%d of %d requests at the home target with weight 0.05", home, picks)
+	}
+}
