--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -75,15 +75,19 @@
 	return lo.Filter(s.Servers, func(b note.Server, _ int) bool { return chosen[b.Addr] })
 }
 
+// zoneVMs returns the ids of the VMs of this availability zone that this one holds for
+// alive, itself included.
+func (v *VM) zoneVMs() []string {
+	return lo.FilterMap(part[*member.Service](v).Snapshot().Alive(), func(m member.Member, _ int) (string, bool) {
+		return m.ID(), m.Zone() == v.settings.Zone
+	})
+}
+
 // watchHolders keeps the follower told whether this VM is one of those that hold
 // a watch, since the platform counts each waiting watch as a call.
 func (v *VM) watchHolders(ctx context.Context) error {
 	for {
-		snapshot := part[*member.Service](v).Snapshot()
-		zone := lo.FilterMap(snapshot.Alive(), func(m member.Member, _ int) (string, bool) {
-			return m.ID(), m.Zone() == v.settings.Zone
-		})
-		chosen := deploy.WatchHolders(v.settings.Zone, zone, deploy.MaxHolders)
+		chosen := deploy.WatchHolders(v.settings.Zone, v.zoneVMs(), deploy.MaxHolders)
 		part[*deploy.Follower](v).SetWatch(slices.Contains(chosen, v.settings.Name))
 		if !sleep.For(ctx, holdersCheck) {
 			return ctx.Err()
@@ -94,9 +98,7 @@
 // followPlace keeps the traffic told which backend servers fall to this VM.
 func (v *VM) followPlace(ctx context.Context) error {
 	for {
-		zone := lo.FilterMap(part[*member.Service](v).Snapshot().Alive(), func(m member.Member, _ int) (string, bool) {
-			return m.ID(), m.Zone() == v.settings.Zone
-		})
+		zone := v.zoneVMs()
 		slices.Sort(zone)
 		next := place{vm: v.settings.Name, zone: v.settings.Zone}
 		if i, ok := slices.BinarySearch(zone, v.settings.Name); ok {
