--- a/conf/conf.go
+++ b/conf/conf.go
@@ -2,6 +2,7 @@
 package conf
 
 import (
+	"cmp"
 	"net/netip"
 	"net/url"
 	"os"
@@ -54,9 +55,9 @@
 	API string `json:"form"`
 	// RetryRatio and FleetRetryBurst limit the retries and hedged requests of the whole
 	// fleet for one service within any 10 s to RetryRatio times the requests plus
-	// FleetRetryBurst.
+	// FleetRetryBurst. Platforms state the burst as any number, also a fraction.
 	RetryRatio      float64 `json:"retry"`
-	FleetRetryBurst int     `json:"slack"`
+	FleetRetryBurst float64 `json:"slack"`
 	Floor           float64 `json:"floor"` // Minimum share of a service's backend servers that ejection leaves in use.
 	// ReregistrationGrace is how long after an outage of the platform the entries of
 	// running backend servers may still be missing.
@@ -87,6 +88,27 @@
 	// that cache discovery responses for longer than TTL need a larger value.
 	ServeTime note.Duration `json:"stay"`
 	Timeout   note.Duration `json:"deadline"` // Time limit for in-flight requests after ServeTime.
+	// KillAfter is the time after which the platform kills a process that it has told to
+	// stop; 0 means never. ServeTime and Timeout then keep their proportion and together
+	// take maxDrainShare of it.
+	KillAfter note.Duration `json:"grace"`
+}
+
+// maxDrainShare is the share of Drain.KillAfter that a graceful shutdown may take. The
+// rest is for the responses to requests that are cut off, and for the exit.
+const maxDrainShare = 5.0 / 6
+
+// fitKillAfter divides the time before the kill between ServeTime and Timeout in the
+// proportion of the settings, so that both grow and shrink with the platform's bound.
+func (d *Drain) fitKillAfter() {
+	serve := cmp.Or(d.ServeTime, d.TTL)
+	total := serve + d.Timeout
+	if d.KillAfter <= 0 || total <= 0 {
+		return
+	}
+	scale := maxDrainShare * float64(d.KillAfter) / float64(total)
+	d.ServeTime = note.Duration(float64(serve) * scale)
+	d.Timeout = note.Duration(float64(d.Timeout) * scale)
 }
 
 // Settings are the settings of one entry VM.
@@ -149,6 +171,7 @@
 	s := Default()
 	ps := strict.Decode("settings", data, maxFileBytes, &s)
 	s.check(&ps)
+	s.Drain.fitKillAfter()
 	return s, ps.Err()
 }
 
@@ -162,6 +185,8 @@
 	maxConns       = 1 << 20
 	maxNameBytes   = 63
 	maxFullMeshVMs = 64 // A VM supports at most this many links.
+	// maxFleetRetryBurst is far above what any fleet could send within 10 s.
+	maxFleetRetryBurst = 1 << 20
 )
 
 func (s *Settings) check(ps *strict.Problems) {
@@ -193,7 +218,9 @@
 	if p.Floor < 0 || p.Floor > 1 {
 		ps.Add("platform.floor", p.Floor, "0 to 1")
 	}
-	checkRange(ps, "platform.slack", p.FleetRetryBurst, 0, maxConns)
+	if p.FleetRetryBurst < 0 || p.FleetRetryBurst > maxFleetRetryBurst {
+		ps.Add("platform.slack", p.FleetRetryBurst, "0 to %d", maxFleetRetryBurst)
+	}
 	checkDuration(ps, "platform.return", p.ReregistrationGrace)
 }
 
@@ -261,6 +288,9 @@
 		checkDuration(ps, "drain.stay", s.Drain.ServeTime)
 	}
 	checkDuration(ps, "drain.deadline", s.Drain.Timeout)
+	if s.Drain.KillAfter != 0 {
+		checkDuration(ps, "drain.grace", s.Drain.KillAfter)
+	}
 	if s.Limits.Rate <= 0 {
 		ps.Add("limits.rate", s.Limits.Rate, "a number above 0")
 	}
