--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -14,9 +14,11 @@
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/demo"
 	"github.com/azuredeal/azuredeal/entry"
+	"github.com/azuredeal/azuredeal/internal/fleet/feed"
 	"github.com/azuredeal/azuredeal/logs"
 	"github.com/azuredeal/azuredeal/platform"
 	"github.com/azuredeal/azuredeal/strict"
+	"github.com/azuredeal/azuredeal/wire"
 )
 
 type serveCommand struct {
@@ -92,13 +94,21 @@
 	cancelJoin()
 	settings.Peer.Secret = secret
 	var vm *entry.VM
-	releaseSource := platform.NewReleaseSource(client, settings.Platform, func() int { return vm.Alive() }, log)
+	releaseSource := platform.NewReleaseSource(client, settings.Platform, feed.Fleet{
+		Size:     func() int { return vm.Alive() },
+		Watchers: func() int { return vm.Watchers() },
+		Watches:  func() bool { return vm.WatchesPlatform() },
+		Pull: func(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
+			return vm.Pull(ctx, addr, pull)
+		},
+	}, log)
 	vm, err = entry.New(hardCtx, settings, entry.Options{
 		Log:                  log,
 		Dialect:              platform.Dialect(),
 		ReleaseSource:        releaseSource.Run,
 		LatestRevisions:      releaseSource.LatestRevisions,
 		ObservePeerRevisions: releaseSource.ObservePeerRevisions,
+		ServePull:            releaseSource.ServePull,
 		DiscoverVMs:          registry.ListVMs,
 		Incarnation:          incarnation,
 	})
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -21,6 +21,7 @@
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/internal/fleet/feed"
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/peer"
@@ -122,6 +123,7 @@
 		Listen:      func() (net.Listener, error) { return v.listeners.peer, nil },
 		OnHeartbeat: func(l *peer.Link, h *wire.Heartbeat) { driver().OnHeartbeat(l, h) },
 		OnLink:      func(l *peer.Link, up bool) { driver().OnLink(l, up) },
+		OnPull:      v.opts.ServePull,
 		Metrics:     component[*metrics.Set](v),
 	}
 	if v.opts.ReleaseSource == nil {
@@ -187,19 +189,28 @@
 	if v.opts.ReleaseSource == nil {
 		opts.DiscoverVMs = component[*store.Client](v).ListVMs
 		opts.Generation = func() uint64 { return component[*deploy.Follower](v).Generation() }
-		opts.OnNewerGeneration = func(addr string, generation uint64) {
-			component[*deploy.Follower](v).ObservePeerGeneration(addr, generation)
+		opts.OnNewerGeneration = func(peer *wire.Member, generation uint64) {
+			component[*deploy.Follower](v).ObservePeerGeneration(peer.GetPeer(), generation)
 		}
 	}
 	if v.opts.LatestRevisions != nil {
 		opts.Generation = func() uint64 { config, _ := v.opts.LatestRevisions(); return config }
-		opts.OnNewerGeneration = func(_ string, generation uint64) { v.opts.ObservePeerRevisions(generation, 0) }
+		opts.OnNewerGeneration = func(peer *wire.Member, config uint64) {
+			v.opts.ObservePeerRevisions(v.feedPeer(peer), config, 0)
+		}
 		opts.Roster = func() uint64 { _, servers := v.opts.LatestRevisions(); return servers }
-		opts.OnNewerRoster = func(roster uint64) { v.opts.ObservePeerRevisions(0, roster) }
+		opts.OnNewerRoster = func(peer *wire.Member, servers uint64) {
+			v.opts.ObservePeerRevisions(v.feedPeer(peer), 0, servers)
+		}
+		opts.FirstHand = v.WatchesPlatform
 	}
 	return member.New(opts), nil
 }
 
+func (v *VM) feedPeer(m *wire.Member) feed.Peer {
+	return feed.Peer{Addr: m.GetPeer(), Near: m.GetZone() == v.settings.Zone}
+}
+
 func (v *VM) logMemberChange(c member.Change) {
 	v.log.Info().Str("member", c.Member.ID()).Str("zone", c.Member.Zone()).
 		Stringer("before", c.From).Stringer("state", c.Member.State()).Msg("member changed state")
@@ -235,7 +246,10 @@
 	return func(rel *note.Release, limits caller.Limits) {
 		v.server.SetLimits(limits)
 		v.applyRelease(ctx, rel)
-		once.Do(func() { close(v.released) })
+		once.Do(func() {
+			v.releasedAt.Store(time.Now().UnixNano())
+			close(v.released)
+		})
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,12 +20,14 @@
 	"github.com/azuredeal/azuredeal/caller"
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/internal/fleet/feed"
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/peer"
 	"github.com/azuredeal/azuredeal/pool"
 	"github.com/azuredeal/azuredeal/proxy"
 	"github.com/azuredeal/azuredeal/store"
+	"github.com/azuredeal/azuredeal/wire"
 )
 
 // Options configures a VM beyond its settings.
@@ -40,10 +43,11 @@
 	ReleaseSource func(ctx context.Context, apply func(*note.Release, caller.Limits)) error
 	// LatestRevisions returns the latest platform revisions of configuration and backend
 	// servers that the source has seen, and ObservePeerRevisions passes it those that
-	// another VM reports. A revision of 0 is unknown. Set both, together with
-	// ReleaseSource, or neither.
+	// another VM reports. A revision of 0 is unknown. ServePull replies to another VM that
+	// pulls changes. Set all three, together with ReleaseSource, or none.
 	LatestRevisions      func() (config, servers uint64)
-	ObservePeerRevisions func(config, servers uint64)
+	ObservePeerRevisions func(peer feed.Peer, config, servers uint64)
+	ServePull            func(pull *wire.Pull) *wire.Changes
 	// DiscoverVMs returns the VMs of the fleet. Without a ReleaseSource the VM lists them
 	// from the platform of the settings instead.
 	DiscoverVMs func(ctx context.Context) ([]store.VM, error)
@@ -65,9 +69,13 @@
 	probes      *probes
 	server      *caller.Server // For callers without TLS.
 	released    chan struct{}  // Closed once the first release of a ReleaseSource has been applied.
+	releasedAt  atomic.Int64   // When released was closed, Unix time in nanoseconds; 0 before.
 	drain       chan struct{}  // Closed when the graceful shutdown starts.
 	drainOnce   sync.Once
 
+	watcher  atomic.Bool  // This VM watches the platform for changes.
+	watchers atomic.Int64 // Number of VMs that do.
+
 	releaseMu sync.Mutex // Guards release and position, and is held while they are applied.
 	release   *note.Release
 	position  position
@@ -172,6 +180,18 @@
 // Alive returns the number of VMs that this one considers alive, itself included.
 func (v *VM) Alive() int { return len(component[*member.Driver](v).Snapshot().Alive()) }
 
+// WatchesPlatform reports whether this VM is one of those that watch the platform for
+// changes; the others take changes over from them.
+func (v *VM) WatchesPlatform() bool { return v.watcher.Load() }
+
+// Watchers returns the number of VMs that watch the platform for changes.
+func (v *VM) Watchers() int { return int(v.watchers.Load()) }
+
+// Pull asks the VM at the peer address for changes. Errors are those of peer.Peer.Pull.
+func (v *VM) Pull(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
+	return component[*peer.Peer](v).Pull(ctx, addr, pull)
+}
+
 // Reload applies the settings that can change while the VM runs: the seed addresses of
 // its peers. All others take effect at the next start.
 func (v *VM) Reload(settings conf.Settings) {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/internal/fleet/feed"
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pick"
@@ -111,12 +112,35 @@
 			next.index, next.count = i, len(zone)
 		}
 		v.setPosition(ctx, next)
+		v.updateWatcher(time.Now())
 		if !sleep.For(ctx, positionCheckInterval) {
 			return ctx.Err()
 		}
 	}
 }
 
+// linkUpTime is how long a VM that has just begun to join the fleet and knows of no other
+// VM waits for its links before it takes itself to be alone.
+const linkUpTime = 2 * time.Second
+
+// updateWatcher updates whether this VM is one of those that watch the platform for
+// changes.
+func (v *VM) updateWatcher(now time.Time) {
+	byZone := component[*member.Driver](v).Snapshot().AliveByZone()
+	ids := lo.MapValues(byZone, func(members []member.Member, _ string) []string {
+		return lo.Map(members, func(m member.Member, _ int) string { return m.ID() })
+	})
+	releasedAt := v.releasedAt.Load()
+	joining := releasedAt == 0 || now.Sub(time.Unix(0, releasedAt)) < linkUpTime
+	alone := len(byZone) == 1 && len(byZone[v.settings.Zone]) == 1
+	watchers := feed.Watchers(ids)
+	v.watchers.Store(int64(len(watchers)))
+	watcher := slices.Contains(watchers, v.settings.Name) && !(alone && joining)
+	if v.watcher.Swap(watcher) != watcher {
+		v.log.Info().Bool("watcher", watcher).Msg("role in following the platform changed")
+	}
+}
+
 // setPosition applies the release again when the position has changed, since the
 // preferred backend servers depend on it.
 func (v *VM) setPosition(ctx context.Context, next position) {
--- /dev/null
+++ b/internal/fleet/feed/feed.go
@@ -0,0 +1,228 @@
+// Package feed keeps the recent changes of one kind of object of the platform, so that a
+// VM can pass them on to others, and decides which VMs of a fleet watch the platform.
+//
+// The platform counts its changes with one revision number. A few VMs watch it; each tells
+// its links the revision of the newest change, and VMs that lack it pull the changes after
+// their own revision from the VM that told them. A chain of such pulls reaches the whole
+// fleet, and no VM holds more of the platform's attention than it needs.
+package feed
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+// Change is one change of an object.
+type Change struct {
+	name     string
+	revision uint64
+	removed  bool
+	data     []byte
+}
+
+// NewChange returns the change that created or replaced an object. data is the object as
+// the platform encodes it and must not be modified afterwards.
+func NewChange(name string, revision uint64, data []byte) Change {
+	return Change{name: name, revision: revision, data: data}
+}
+
+// NewRemoval returns the change that removed an object. The revision is that of the removal
+// or, on a platform that does not state it, any earlier one.
+func NewRemoval(name string, revision uint64) Change {
+	return Change{name: name, revision: revision, removed: true}
+}
+
+// Name returns the name of the object.
+func (c Change) Name() string { return c.name }
+
+// Revision returns the revision of the change.
+func (c Change) Revision() uint64 { return c.revision }
+
+// Removed reports whether the change removed the object.
+func (c Change) Removed() bool { return c.removed }
+
+// Data returns the object as the platform encodes it, nil after a removal.
+func (c Change) Data() []byte { return c.data }
+
+// batch holds all changes after the revision of the batch before it, up to upto.
+type batch struct {
+	upto    uint64
+	changes []Change
+}
+
+// Bounds of the history that a Log keeps for other VMs. A VM that lacks more than that
+// gets all objects.
+const (
+	maxHistoryChanges = 4096
+	maxHistoryBytes   = 512 << 10 // Fits into one message between VMs.
+)
+
+// Log is what a VM knows of one kind of object: all objects and the recent changes. It is
+// safe for concurrent use.
+type Log struct {
+	mu      sync.Mutex
+	start   uint64            // The history holds all changes after this revision.
+	known   uint64            // All changes up to this revision are known.
+	newest  uint64            // Revision of the newest known change.
+	objects map[string]Change // The last change of each object, by name.
+	history []batch
+	changes int // In history.
+	bytes   int // Of the data in history.
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{objects: map[string]Change{}} }
+
+// Known returns the revision up to which all changes are known, 0 before the first listing.
+func (l *Log) Known() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
+}
+
+// Newest returns the revision of the newest change, 0 when no object is known. Two VMs that
+// know the same changes return the same number, whatever else happened on the platform.
+func (l *Log) Newest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest
+}
+
+// Replace takes in a listing of all objects at revision upto. It returns the changes that
+// lead there from the objects known before, or false when the listing is behind them.
+func (l *Log) Replace(upto uint64, objects []Change) ([]Change, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if upto < l.known {
+		return nil, false
+	}
+	var changes []Change
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.name] = true
+		if old, known := l.objects[o.name]; !known || o.revision > old.revision {
+			changes = append(changes, o)
+		}
+	}
+	for name := range l.objects {
+		if !listed[name] {
+			changes = append(changes, NewRemoval(name, upto))
+		}
+	}
+	if l.known == 0 {
+		// Other VMs list for themselves when they start, so the first listing is no history.
+		l.take(upto, changes)
+		l.start = upto
+		return changes, true
+	}
+	l.append(upto, changes)
+	return changes, true
+}
+
+// Append takes in all changes after a revision up to another one. It returns those that are
+// new, and false when the log lacks changes before them.
+func (l *Log) Append(after, upto uint64, changes []Change) ([]Change, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if after > l.known {
+		return nil, false
+	}
+	if upto <= l.known {
+		return nil, true
+	}
+	l.append(upto, changes)
+	return changes, true
+}
+
+// take updates the state with changes that lead to revision upto.
+func (l *Log) take(upto uint64, changes []Change) {
+	for _, c := range changes {
+		revision := c.revision
+		if c.removed {
+			if revision <= l.objects[c.name].revision {
+				// The platform repeated the revision of the object instead of that of its removal.
+				revision = upto
+			}
+			delete(l.objects, c.name)
+		} else {
+			l.objects[c.name] = c
+		}
+		l.newest = max(l.newest, revision)
+	}
+	l.known = upto
+}
+
+func (l *Log) append(upto uint64, changes []Change) {
+	l.take(upto, changes)
+	if len(changes) == 0 {
+		return // The next batch covers this span as well.
+	}
+	l.history = append(l.history, batch{upto: upto, changes: changes})
+	l.changes += len(changes)
+	l.bytes += dataBytes(changes)
+	for l.changes > maxHistoryChanges || l.bytes > maxHistoryBytes {
+		oldest := l.history[0]
+		l.history = l.history[1:]
+		l.start = oldest.upto
+		l.changes -= len(oldest.changes)
+		l.bytes -= dataBytes(oldest.changes)
+	}
+}
+
+func dataBytes(changes []Change) int {
+	n := 0
+	for _, c := range changes {
+		n += len(c.data)
+	}
+	return n
+}
+
+// Since returns the changes after a revision, in order, and the revision that they lead to.
+// They may begin with some from before that revision. It returns false when the history
+// does not reach back to it.
+func (l *Log) Since(after uint64) (changes []Change, upto uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if after < l.start || l.known == 0 {
+		return nil, 0, false
+	}
+	for _, b := range l.history {
+		if b.upto > after {
+			changes = append(changes, b.changes...)
+		}
+	}
+	return changes, max(after, l.known), true
+}
+
+// Reply returns the reply to a pull of another VM: the changes after a revision, or all
+// objects when the history does not reach back to it.
+func (l *Log) Reply(after uint64) *wire.Changes {
+	changes, upto, ok := l.Since(after)
+	if !ok {
+		changes, upto = l.all()
+	}
+	out := &wire.Changes{Upto: upto, Complete: !ok, Changes: make([]*wire.Change, 0, len(changes))}
+	for _, c := range changes {
+		out.Changes = append(out.Changes, &wire.Change{Name: c.name, Revision: c.revision, Removed: c.removed, Data: c.data})
+	}
+	return out
+}
+
+// all returns all objects and the revision up to which they are known.
+func (l *Log) all() ([]Change, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.objects)), l.known
+}
+
+// FromWire returns the changes of a reply.
+func FromWire(reply *wire.Changes) []Change {
+	out := make([]Change, 0, len(reply.GetChanges()))
+	for _, c := range reply.GetChanges() {
+		out = append(out, Change{name: c.GetName(), revision: c.GetRevision(), removed: c.GetRemoved(), data: c.GetData()})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/feed/feed_test.go
@@ -0,0 +1,152 @@
+package feed
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func change(name string, revision uint64) Change {
+	return NewChange(name, revision, []byte(fmt.Sprintf("%s@%d", name, revision)))
+}
+
+// summary prints changes in a short form.
+func summary(changes []Change) string {
+	var out []string
+	for _, c := range changes {
+		text := fmt.Sprintf("%s@%d", c.Name(), c.Revision())
+		if c.Removed() {
+			text = "-" + text
+		}
+		out = append(out, text)
+	}
+	return fmt.Sprint(out)
+}
+
+// Guards against changes that are lost or repeated out of order on their way through a VM
+// that passes them on.
+func TestLogPassesChangesOn(t *testing.T) {
+	l := NewLog()
+	l.Replace(10, []Change{change("a", 4), change("b", 7)})
+	l.Append(10, 13, []Change{change("a", 12), NewRemoval("b", 13)})
+	l.Append(13, 20, nil)
+	l.Append(20, 25, []Change{change("b", 22)})
+	for _, c := range []struct {
+		after uint64
+		want  string
+		upto  uint64
+		ok    bool
+	}{
+		{9, "[]", 0, false}, // Before the first listing: what was removed until then is unknown.
+		{10, "[a@12 -b@13 b@22]", 25, true},
+		{12, "[a@12 -b@13 b@22]", 25, true}, // In the middle of a response of the platform.
+		{13, "[b@22]", 25, true},
+		{25, "[]", 25, true},
+		{30, "[]", 30, true}, // The other VM knows more.
+	} {
+		got, upto, ok := l.Since(c.after)
+		if summary(got) != c.want || upto != c.upto || ok != c.ok {
+			t.Errorf("since %d: %s up to %d, %v; want %s up to %d, %v", c.after, summary(got), upto, ok, c.want, c.upto, c.ok)
+		}
+	}
+}
+
+// Guards against a VM that takes over changes although it lacks those before them, and
+// against changes that are taken in twice.
+func TestLogTakesOnlyWhatContinues(t *testing.T) {
+	l := NewLog()
+	l.Replace(10, []Change{change("a", 4)})
+	if _, ok := l.Append(11, 15, []Change{change("a", 14)}); ok {
+		t.Error("changes after 11 were taken in at revision 10")
+	}
+	if got, ok := l.Append(8, 12, []Change{change("a", 9), change("b", 12)}); !ok || summary(got) != "[a@9 b@12]" {
+		t.Errorf("changes that overlap: %s, %v", summary(got), ok)
+	}
+	if got, ok := l.Append(8, 12, []Change{change("b", 12)}); !ok || len(got) != 0 {
+		t.Errorf("changes that are known: %s, %v", summary(got), ok)
+	}
+	if _, ok := l.Replace(11, nil); ok {
+		t.Error("a listing behind the known revision was taken in")
+	}
+}
+
+// Guards against objects that stay known after they were removed while the platform
+// dropped its history.
+func TestListingAfterLostHistory(t *testing.T) {
+	l := NewLog()
+	l.Replace(10, []Change{change("a", 4), change("b", 5), change("c", 6)})
+	got, ok := l.Replace(30, []Change{change("a", 4), change("c", 28), change("d", 29)})
+	slices.SortFunc(got, func(a, b Change) int { return int(a.Name()[0]) - int(b.Name()[0]) })
+	if !ok || summary(got) != "[-b@30 c@28 d@29]" {
+		t.Errorf("changes of the listing: %s, %v", summary(got), ok)
+	}
+}
+
+// Guards against a removal that no other VM hears of, because the platform states the
+// revision of the object in place of that of its removal.
+func TestRemovalRaisesTheNewestRevision(t *testing.T) {
+	l := NewLog()
+	l.Replace(10, []Change{change("a", 9)})
+	l.Append(10, 14, []Change{NewRemoval("a", 9)})
+	if got := l.Newest(); got <= 9 {
+		t.Errorf("newest revision %d after the removal", got)
+	}
+}
+
+// Guards against a VM that never gets what it lacks, because the history of the others
+// begins later than what it knows.
+func TestReplyWithoutHistory(t *testing.T) {
+	l := NewLog()
+	l.Replace(10, []Change{change("a", 4)})
+	for i := uint64(11); i < 11+2*maxHistoryChanges; i++ {
+		l.Append(i-1, i, []Change{change("a", i)})
+	}
+	reply := l.Reply(10)
+	if !reply.GetComplete() || reply.GetUpto() != l.Known() || len(reply.GetChanges()) != 1 {
+		t.Errorf("reply beyond the history: complete %v up to %d with %d changes", reply.GetComplete(), reply.GetUpto(), len(reply.GetChanges()))
+	}
+	if reply := l.Reply(l.Known() - 3); reply.GetComplete() || len(reply.GetChanges()) != 3 {
+		t.Errorf("reply within the history: complete %v with %d changes", reply.GetComplete(), len(reply.GetChanges()))
+	}
+	if l.changes > maxHistoryChanges || l.bytes > maxHistoryBytes {
+		t.Errorf("history of %d changes and %d bytes", l.changes, l.bytes)
+	}
+	if reply := NewLog().Reply(0); reply.GetUpto() != 0 {
+		t.Errorf("a VM without a listing answers up to %d", reply.GetUpto())
+	}
+}
+
+// Guards against a fleet in which too few VMs watch to survive losses, or so many that the
+// platform's calls grow with the fleet, and against a lost VM that moves other watchers.
+func TestWatchers(t *testing.T) {
+	fleet := func(zones, perZone int) map[string][]string {
+		out := map[string][]string{}
+		for z := range zones {
+			for i := range perZone {
+				zone := fmt.Sprint("zone-", z)
+				out[zone] = append(out[zone], fmt.Sprintf("vm-%d-%d", z, i))
+			}
+		}
+		return out
+	}
+	for _, c := range []struct{ zones, perZone, want int }{
+		{1, 1, 1}, {1, 3, 3}, {1, 50, 4}, {3, 6, 4}, {4, 5, 4}, {6, 30, 6}, {6, 217, 6},
+	} {
+		watchers := Watchers(fleet(c.zones, c.perZone))
+		if len(watchers) != c.want {
+			t.Errorf("%d zones of %d: %d watchers, want %d", c.zones, c.perZone, len(watchers), c.want)
+		}
+		for _, lost := range watchers {
+			rest := fleet(c.zones, c.perZone)
+			for zone, ids := range rest {
+				rest[zone] = slices.DeleteFunc(ids, func(id string) bool { return id == lost })
+			}
+			kept := Watchers(rest)
+			for _, id := range watchers {
+				if id != lost && !slices.Contains(kept, id) {
+					t.Errorf("%d zones of %d: %s stops watching when %s is lost", c.zones, c.perZone, id, lost)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/feed/fleet_test.go
@@ -0,0 +1,320 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azuredeal/azuredeal/seed"
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+const (
+	callTime      = 4 * time.Millisecond   // Time of one call to the platform of a test.
+	heartbeatTime = 500 * time.Millisecond // Interval of the news on a link.
+	tickTime      = 100 * time.Millisecond // Delay of urgent news on a link.
+	// inForce is the time in which a change has to be known to all VMs.
+	inForce = 2 * time.Second
+)
+
+var errTurnedAway = errors.New("turned away")
+
+// testPlatform is a platform of one kind of object. Its zero value has no objects.
+type testPlatform struct {
+	mu       sync.Mutex
+	changed  chan struct{}
+	history  []Change
+	start    uint64 // Earlier history is gone.
+	revision uint64
+	calls    atomic.Int64
+}
+
+func newTestPlatform() *testPlatform { return &testPlatform{changed: make(chan struct{}), revision: 1} }
+
+func (p *testPlatform) set(name string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.history = append(p.history, change(name, p.revision))
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.revision
+}
+
+func (p *testPlatform) list(context.Context, bool) ([]Change, uint64, error) {
+	p.calls.Add(1)
+	time.Sleep(callTime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	objects := map[string]Change{}
+	for _, c := range p.history {
+		objects[c.Name()] = c
+	}
+	var out []Change
+	for _, c := range objects {
+		out = append(out, c)
+	}
+	return out, p.revision, nil
+}
+
+func (p *testPlatform) watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	p.calls.Add(1)
+	time.Sleep(callTime)
+	timeout := time.After(wait)
+	for {
+		p.mu.Lock()
+		var out []Change
+		for _, c := range p.history {
+			if c.Revision() > after {
+				out = append(out, c)
+			}
+		}
+		changed, revision, gone := p.changed, p.revision, after < p.start
+		p.mu.Unlock()
+		switch {
+		case gone:
+			return nil, 0, ErrHistoryGone
+		case len(out) > 0:
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// testVM is one VM of a test fleet: a follower and its links.
+type testVM struct {
+	*Follower
+	id         string
+	links      []*testVM
+	isWatcher  atomic.Bool
+	turnedAway atomic.Bool // The platform refuses its calls.
+	down       atomic.Bool // The VM neither answers nor sends.
+	updates    chan Update
+}
+
+type testFleet struct {
+	*testPlatform
+	vms []*testVM
+}
+
+// startFleet starts VMs in availability zones by turns; each links to degree others, and
+// those link back.
+func startFleet(t *testing.T, ctx context.Context, zones, size, degree int) *testFleet {
+	f := &testFleet{testPlatform: newTestPlatform()}
+	f.set("first")
+	random := rand.New(rand.NewPCG(seed.For(t, 1), 0))
+	byZone := map[string][]string{}
+	for i := range size {
+		vm := &testVM{id: fmt.Sprint("vm-", i), updates: make(chan Update, 64)}
+		zone := fmt.Sprint("zone-", i%zones)
+		byZone[zone] = append(byZone[zone], vm.id)
+		f.vms = append(f.vms, vm)
+	}
+	watchers := Watchers(byZone)
+	byID := map[string]*testVM{}
+	for _, vm := range f.vms {
+		byID[vm.id] = vm
+		for range degree {
+			peer := f.vms[random.IntN(size)]
+			vm.links, peer.links = append(vm.links, peer), append(peer.links, vm)
+		}
+		vm.Follower = NewFollower(Options{
+			Kind: "servers", Log: zerolog.Nop(),
+			Fleet: Fleet{
+				Size: func() int { return size }, Watchers: func() int { return len(watchers) }, Watches: vm.isWatcher.Load,
+				Pull: func(_ context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
+					time.Sleep(callTime)
+					if byID[addr].down.Load() {
+						return nil, errTurnedAway
+					}
+					return byID[addr].Reply(pull.GetAfter()), nil
+				},
+			},
+			List: f.list,
+			Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+				if vm.turnedAway.Load() {
+					f.calls.Add(1)
+					return nil, 0, errTurnedAway
+				}
+				return f.watch(ctx, after, wait)
+			},
+		})
+	}
+	for _, id := range watchers {
+		byID[id].isWatcher.Store(true)
+	}
+	for i, vm := range f.vms {
+		go func() { _ = vm.Run(ctx, vm.updates) }()
+		go vm.sendNews(ctx, i%zones, zones, f)
+		go vm.discardUpdates(ctx)
+	}
+	return f
+}
+
+func (v *testVM) discardUpdates(ctx context.Context) {
+	for {
+		select {
+		case <-v.updates:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sendNews tells the links of the newest revision, as heartbeats do: at once when it has
+// risen, and at intervals.
+func (v *testVM) sendNews(ctx context.Context, zone, zones int, f *testFleet) {
+	told, next := uint64(0), time.Now()
+	for ctx.Err() == nil {
+		time.Sleep(tickTime)
+		newest := v.Newest()
+		if newest == told && time.Now().Before(next) || v.down.Load() {
+			continue
+		}
+		told, next = newest, time.Now().Add(heartbeatTime)
+		for _, peer := range v.links {
+			if !peer.down.Load() && newest > peer.Newest() {
+				peer.ObservePeer(Peer{Addr: v.id, Near: f.index(peer)%zones == zone}, newest)
+			}
+		}
+	}
+}
+
+func (f *testFleet) index(v *testVM) int {
+	var n int
+	_, _ = fmt.Sscanf(v.id, "vm-%d", &n)
+	return n
+}
+
+// waitUntilKnown fails when a VM that is up lacks a revision after the time limit.
+func (f *testFleet) waitUntilKnown(t *testing.T, revision uint64, limit time.Duration) {
+	t.Helper()
+	time.Sleep(limit)
+	for _, vm := range f.vms {
+		if !vm.down.Load() && vm.Newest() < revision {
+			t.Errorf("%s knows revision %d after %v, want %d", vm.id, vm.Newest(), limit, revision)
+		}
+	}
+}
+
+// inFleet runs fn with a fleet whose VMs have listed the platform.
+func inFleet(t *testing.T, zones, size, degree int, fn func(f *testFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := startFleet(t, ctx, zones, size, degree)
+		time.Sleep(inForce)
+		fn(f)
+		cancel()
+		time.Sleep(time.Second) // Lets all goroutines end.
+	})
+}
+
+// Pattern: servers come and go all the time in a large fleet. Guards against calls to the
+// platform that grow with the number of VMs, and against changes that reach a part of the
+// fleet too late because it does not watch.
+func TestPatternChurnInLargeFleet(t *testing.T) {
+	const size, seconds = 178, 30
+	inFleet(t, 6, size, 8, func(f *testFleet) {
+		before := f.calls.Load()
+		for i := range 2 * seconds {
+			revision := f.set(fmt.Sprint("server-", i))
+			if i%10 == 9 {
+				f.waitUntilKnown(t, revision, inForce)
+			}
+			time.Sleep(time.Second / 2)
+		}
+		// Six watchers with a call each 0.8 s, against one of each VM.
+		if got, limit := f.calls.Load()-before, int64(6*2*seconds*2); got > limit {
+			t.Errorf("%d calls in %d s for %d VMs, want at most %d", got, seconds, size, limit)
+		}
+	})
+}
+
+// Pattern: the platform turns away a third of the VMs, most watchers among them. Guards
+// against VMs that lag behind on servers that leave, and against a storm of repeated calls.
+func TestPatternStoreTurnsVMsAway(t *testing.T) {
+	inFleet(t, 6, 60, 8, func(f *testFleet) {
+		turnedAway, watchers := 0, 0
+		for i, vm := range f.vms {
+			if vm.isWatcher.Load() {
+				watchers++
+			}
+			if vm.isWatcher.Load() && watchers < 6 || i%3 == 0 && !vm.isWatcher.Load() {
+				vm.turnedAway.Store(true)
+				turnedAway++
+			}
+		}
+		before := f.calls.Load()
+		for i := range 4 {
+			f.waitUntilKnown(t, f.set(fmt.Sprint("server-", i)), inForce)
+		}
+		if got := f.calls.Load() - before; got > 120 {
+			t.Errorf("%d calls in 8 s while %d VMs are turned away", got, turnedAway)
+		}
+	})
+}
+
+// Pattern: many VMs are lost at one moment. Guards against a change that is missed because
+// the VM that told of it has gone before others could pull it, and against changes that
+// travel through lost VMs only.
+func TestPatternHerdIsLost(t *testing.T) {
+	inFleet(t, 6, 178, 8, func(f *testFleet) {
+		kept := 0
+		for i, vm := range f.vms {
+			if vm.isWatcher.Load() && kept < 1 {
+				kept++
+				continue
+			}
+			if vm.isWatcher.Load() || i%2 == 0 {
+				vm.down.Store(true)
+			}
+		}
+		f.waitUntilKnown(t, f.set("server"), inForce)
+	})
+}
+
+// Guards against a VM that waits for others in vain: when none of those that told of a
+// change can pass it on, it reads the platform itself.
+func TestReadsThePlatformWhenOthersCannotPassChangesOn(t *testing.T) {
+	inFleet(t, 1, 2, 1, func(f *testFleet) {
+		vm := f.vms[0]
+		vm.isWatcher.Store(false)
+		time.Sleep(10 * time.Second) // The watch that was waiting ends.
+		f.vms[1].down.Store(true)
+		revision := f.set("server")
+		vm.ObservePeer(Peer{Addr: "vm-1"}, revision)
+		time.Sleep(inForce)
+		if vm.Newest() < revision {
+			t.Errorf("revision %d, want %d", vm.Newest(), revision)
+		}
+	})
+}
+
+// Guards against watchers that go on waiting for a history that the platform has dropped.
+func TestHistoryDroppedUnderAWatch(t *testing.T) {
+	inFleet(t, 4, 18, 8, func(f *testFleet) {
+		f.mu.Lock()
+		f.revision += 5
+		f.history = append(f.history, change("server", f.revision)) // No watch hears of it.
+		f.start = f.revision + 1
+		f.revision++
+		revision := f.revision - 1
+		f.mu.Unlock()
+		f.waitUntilKnown(t, revision, 2*inForce)
+	})
+}
--- /dev/null
+++ b/internal/fleet/feed/follower.go
@@ -0,0 +1,429 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/wire"
+)
+
+const (
+	minBackoff = 100 * time.Millisecond
+	// maxBackoff is short enough for a VM to catch up in the allowed time after an outage.
+	// It applies to a VM that has no objects yet or no other VMs to hear from.
+	maxBackoff = 500 * time.Millisecond
+	// maxWatcherBackoff applies to the watchers of a fleet. The first of them that reaches
+	// the platform again brings the changes to all.
+	maxWatcherBackoff = 2 * time.Second
+	// coalesceDelay is how long a watcher waits after a change before its next watch, so
+	// that changes in quick succession cost one call. It is well within the 2 s in which
+	// a change has to take effect.
+	coalesceDelay = 800 * time.Millisecond
+	// pullInterval is the least time between two pulls from other VMs. The watchers of a
+	// fleet see changes in quick succession at different times, and each pull of changes
+	// rebuilds the release.
+	pullInterval = 400 * time.Millisecond
+	// missedChangeDelay is how long this VM may be behind another one before it interrupts
+	// its watch. It is above coalesceDelay, by which VMs can differ without having missed
+	// a change.
+	missedChangeDelay = 1100 * time.Millisecond
+	// pullPatience is how long a VM that does not watch tries to pull a known change from
+	// other VMs before it reads the platform.
+	pullPatience = 600 * time.Millisecond
+	// pullTimeout is the time limit of one pull. It leaves time for a second VM.
+	pullTimeout = 300 * time.Millisecond
+	// nearDelay is how long a VM waits for news from a VM of its own availability zone,
+	// after news from another zone. Traffic between zones is expensive.
+	nearDelay = 100 * time.Millisecond
+	// roleInterval is how often a VM that does not watch checks whether it should.
+	roleInterval = 500 * time.Millisecond
+	// catchUpWait is how long the platform may let a VM wait that looks for changes that
+	// it could not pull.
+	catchUpWait = 200 * time.Millisecond
+	// watchWaitPerWatcher makes one watch of the fleet end about every second. When
+	// the platform drops its history, watches can go on waiting although they have missed a
+	// change; the first VM whose watch ends learns of the change, and its heartbeats
+	// announce the revision to the other VMs.
+	watchWaitPerWatcher = 1200 * time.Millisecond
+	minWatchWait        = time.Second
+	// maxSources bounds the VMs that are remembered to pull from; each tells again with its
+	// next heartbeat.
+	maxSources = 16
+)
+
+// ErrHistoryGone means that the platform has dropped the history after a revision.
+var ErrHistoryGone = errors.New("history after this revision has been dropped")
+
+// errInterrupted means that a wait was ended so that the follower looks again at once.
+var errInterrupted = errors.New("wait interrupted")
+
+// errBehind means that a listing is older than what is known.
+var errBehind = errors.New("listing is behind the known revision")
+
+// Peer is a VM that has told of a newer revision.
+type Peer struct {
+	Addr string // "ip:port".
+	Near bool   // It is in the availability zone of this VM.
+}
+
+// Fleet is what a follower needs of the other VMs.
+type Fleet struct {
+	Size     func() int // Returns the number of VMs.
+	Watchers func() int // Returns the number of VMs that watch the platform.
+	// Watches reports whether this VM watches the platform itself. VMs that do not pull the
+	// changes from others.
+	Watches func() bool
+	// Pull asks the VM at addr for the changes after a revision.
+	Pull func(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error)
+}
+
+// Update is what one step of a follower brought.
+type Update struct {
+	Kind    string
+	Err     error // A call to the platform failed; the other fields are empty.
+	Changes []Change
+	// Relayed says that another VM passed the changes on, so that they tell nothing about
+	// this VM's path to the platform.
+	Relayed bool
+	// Grace is how much longer removed objects may belong to running processes, because the
+	// platform has just come back from an outage. It is set for relayed changes only.
+	Grace time.Duration
+}
+
+// Options configures a follower.
+type Options struct {
+	Kind  string // Kind of the objects, as the platform names it.
+	Fleet Fleet
+	// List returns all objects and the revision of the listing. With allowStale it may be
+	// seconds behind, and is cheaper.
+	List func(ctx context.Context, allowStale bool) (objects []Change, upto uint64, err error)
+	// Watch returns the changes after a revision as soon as there are any, or none after
+	// wait. It returns ErrHistoryGone when the platform no longer has them.
+	Watch func(ctx context.Context, after uint64, wait time.Duration) (changes []Change, upto uint64, err error)
+	// AllowStale lets the first listing be stale.
+	AllowStale bool
+	// Grace returns how much longer removed objects may belong to running processes.
+	Grace func() time.Duration
+	Log   zerolog.Logger
+}
+
+// Follower follows the objects of one kind: it lists them once, and then watches the
+// platform for changes or pulls them from other VMs.
+type Follower struct {
+	opts  Options
+	log   *Log
+	other *Follower     // Follows the other kind; both share one history in the platform.
+	news  chan struct{} // Wakes a follower that waits for news of other VMs.
+
+	mu           sync.Mutex
+	cancelWatch  context.CancelFunc // Ends the current watch; nil when there is none.
+	checkPending bool               // A check for a missed change is scheduled.
+	announced    uint64             // Newest revision that another VM has told of.
+	behindSince  time.Time          // Since when announced is above what this VM knows.
+	sources      map[Peer]uint64    // VMs to pull from, with the revision that each told of.
+}
+
+// NewFollower returns a follower of one kind.
+func NewFollower(o Options) *Follower {
+	return &Follower{opts: o, log: NewLog(), news: make(chan struct{}, 1), sources: map[Peer]uint64{}}
+}
+
+// Link makes two followers tell each other when the platform has dropped its history.
+func Link(a, b *Follower) { a.other, b.other = b, a }
+
+// Newest returns the revision of the newest known change.
+func (f *Follower) Newest() uint64 { return f.log.Newest() }
+
+// Reply returns the reply to a pull of another VM.
+func (f *Follower) Reply(after uint64) *wire.Changes {
+	reply := f.log.Reply(after)
+	if f.opts.Grace != nil {
+		reply.Grace = uint32(max(0, f.opts.Grace()).Milliseconds())
+	}
+	return reply
+}
+
+// watchWait returns how long the next watch waits: a random time up to a maximum that
+// grows with the number of watchers, so that their watches end at different times.
+func (f *Follower) watchWait() time.Duration {
+	return minWatchWait + rand.N(time.Duration(f.opts.Fleet.Watchers())*watchWaitPerWatcher+time.Millisecond)
+}
+
+// ObservePeer records the newest revision that another VM knows. A VM that does not watch
+// pulls the changes from there; one that watches and still lacks them after
+// missedChangeDelay starts its watch anew.
+func (f *Follower) ObservePeer(peer Peer, revision uint64) {
+	if revision <= f.log.Known() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.announced <= f.log.Known() {
+		f.behindSince = time.Now()
+	}
+	f.announced = max(f.announced, revision)
+	if len(f.sources) < maxSources || f.sources[peer] != 0 {
+		f.sources[peer] = revision
+	}
+	f.signalNews()
+	if f.checkPending {
+		return
+	}
+	f.checkPending = true
+	time.AfterFunc(missedChangeDelay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.checkPending = false
+		if known := f.log.Known(); revision > known && f.cancelWatch != nil {
+			f.opts.Log.Info().Str("kind", f.opts.Kind).Uint64("revision", revision).Uint64("known", known).
+				Msg("another VM knows a newer revision; restarting the watch")
+			f.cancelWatch()
+		}
+	})
+}
+
+// Run follows the kind until ctx ends and sends each update to updates. It returns the
+// error of ctx.
+func (f *Follower) Run(ctx context.Context, updates chan<- Update) error {
+	listing := limit.NewBackoff(minBackoff, maxBackoff, rand.Uint64())
+	following := limit.NewBackoff(minBackoff, maxWatcherBackoff, rand.Uint64())
+	listed, allowStale := false, f.opts.AllowStale
+	for ctx.Err() == nil {
+		u, err := f.step(ctx, listed, allowStale)
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.Is(err, ErrHistoryGone):
+			f.opts.Log.Info().Str("kind", f.opts.Kind).Uint64("revision", f.log.Known()).Msg("platform dropped its history; listing all objects")
+			listed = false
+			if f.other != nil {
+				f.other.interruptWatch()
+			}
+			continue
+		case errors.Is(err, errInterrupted):
+			continue
+		case err != nil:
+			u = Update{Err: err}
+		default:
+			// Only the first listing may be stale; later ones follow a loss of history.
+			listed, allowStale = true, false
+			listing.Reset()
+			following.Reset()
+		}
+		u.Kind = f.opts.Kind
+		select {
+		case updates <- u:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		backoff := listing
+		if listed && f.opts.Fleet.Size() >= minWatchers {
+			backoff = following
+		}
+		f.pause(ctx, u, backoff)
+	}
+	return ctx.Err()
+}
+
+// pause waits before the next step: after a failure, until another VM knows a newer
+// revision at the latest, and after changes, so that changes in quick succession are taken
+// together.
+func (f *Follower) pause(ctx context.Context, u Update, backoff *limit.Backoff) {
+	var delay time.Duration
+	switch {
+	case u.Err != nil:
+		delay = backoff.Next()
+	case u.Relayed:
+		delay = pullInterval
+	case len(u.Changes) > 0:
+		delay = coalesceDelay
+	default:
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-f.news:
+			if u.Err != nil && f.isBehind() {
+				return
+			}
+		}
+	}
+}
+
+func (f *Follower) signalNews() {
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+// step lists the kind, catches up with other VMs, watches the platform or waits for news,
+// whichever is due.
+func (f *Follower) step(ctx context.Context, listed, allowStale bool) (Update, error) {
+	switch {
+	case !listed:
+		return f.list(ctx, allowStale)
+	case f.isBehind():
+		return f.catchUp(ctx)
+	case f.log.Newest() == 0 || f.opts.Fleet.Watches():
+		return f.watch(ctx, f.watchWait())
+	}
+	return Update{}, f.awaitNews(ctx, roleInterval)
+}
+
+// list takes in a listing of all objects.
+func (f *Follower) list(ctx context.Context, allowStale bool) (Update, error) {
+	objects, upto, err := f.opts.List(ctx, allowStale)
+	if err != nil {
+		return Update{}, err
+	}
+	changes, ok := f.log.Replace(upto, objects)
+	if !ok {
+		return Update{}, errors.Wrapf(errBehind, "revision %d", upto)
+	}
+	return Update{Changes: changes}, nil
+}
+
+// watch waits for changes. It returns errInterrupted when cancelWatch ends the wait.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) (Update, error) {
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.setCancelWatch(cancel)
+	after := f.log.Known()
+	changes, upto, err := f.opts.Watch(watch, after, wait)
+	f.setCancelWatch(nil)
+	switch {
+	case err != nil && watch.Err() != nil && ctx.Err() == nil:
+		return Update{}, errInterrupted
+	case err != nil:
+		return Update{}, err
+	}
+	changes, _ = f.log.Append(after, upto, changes)
+	return Update{Changes: changes}, nil
+}
+
+func (f *Follower) setCancelWatch(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelWatch = cancel
+}
+
+// interruptWatch ends the current watch, which may have missed a change.
+func (f *Follower) interruptWatch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
+
+// awaitNews waits until another VM tells of a newer revision, or for d.
+func (f *Follower) awaitNews(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-f.news:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return errInterrupted
+}
+
+// isBehind reports whether another VM has told of a revision that this one lacks.
+func (f *Follower) isBehind() bool {
+	known := f.log.Known()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.announced > known
+}
+
+// catchUp pulls the missing changes from a VM that knows them, and reads the platform when
+// none can pass them on in time.
+func (f *Follower) catchUp(ctx context.Context) (Update, error) {
+	peer, wait, ok := f.takeSource(time.Now())
+	if ok {
+		u, err := f.pullFrom(ctx, peer)
+		if err == nil {
+			return u, nil
+		}
+		f.opts.Log.Debug().Err(err).Str("kind", f.opts.Kind).Str("peer", peer.Addr).Msg("cannot pull changes from another VM")
+		return Update{}, errInterrupted
+	}
+	if wait > 0 {
+		return Update{}, f.awaitNews(ctx, wait)
+	}
+	u, err := f.watch(ctx, catchUpWait)
+	if err == nil {
+		f.forgetSources()
+	}
+	return u, err
+}
+
+// takeSource removes and returns a VM to pull from, those of the own availability zone
+// first. Without one it returns how long to wait for another; 0 means no longer.
+func (f *Follower) takeSource(now time.Time) (peer Peer, wait time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	behindFor := now.Sub(f.behindSince)
+	for p, revision := range f.sources {
+		switch {
+		case revision <= f.log.Known():
+			delete(f.sources, p)
+		case p.Near:
+			delete(f.sources, p)
+			return p, 0, true
+		default:
+			peer, ok = p, true
+		}
+	}
+	if ok && behindFor >= nearDelay {
+		delete(f.sources, peer)
+		return peer, 0, true
+	}
+	patience := pullPatience
+	if ok {
+		patience = nearDelay
+	}
+	return Peer{}, max(0, patience-behindFor), false
+}
+
+func (f *Follower) forgetSources() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.announced = 0
+	clear(f.sources)
+}
+
+// pullFrom takes in the changes that another VM passes on.
+func (f *Follower) pullFrom(ctx context.Context, peer Peer) (Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	after := f.log.Known()
+	reply, err := f.opts.Fleet.Pull(ctx, peer.Addr, &wire.Pull{Feed: f.opts.Kind, After: after})
+	if err != nil {
+		return Update{}, err
+	}
+	if reply.GetUpto() <= after {
+		return Update{}, errors.Newf("its revision %d is not above %d", reply.GetUpto(), after)
+	}
+	changes := FromWire(reply)
+	if reply.GetComplete() {
+		changes, _ = f.log.Replace(reply.GetUpto(), changes)
+	} else {
+		changes, _ = f.log.Append(after, reply.GetUpto(), changes)
+	}
+	return Update{Changes: changes, Relayed: true, Grace: time.Duration(reply.GetGrace()) * time.Millisecond}, nil
+}
--- a/member/events_test.go
+++ b/member/events_test.go
@@ -31,17 +31,17 @@
 	for range 2 {
 		v.QueueEvents([]*wire.Event{{Server: 7, Good: 2, Bad: 1}, {Server: 9, Good: 1}})
 	}
-	got := v.BuildHeartbeat(testStart, id, 0).GetEvents()
+	got := v.BuildHeartbeat(testStart, id, News{}).GetEvents()
 	if len(got) != 2 || got[0].GetServer() != 7 || got[0].GetGood() != 4 || got[0].GetBad() != 2 {
 		t.Errorf("events %v", got)
 	}
-	if again := v.BuildHeartbeat(testStart, id, 0).GetEvents(); len(again) != 0 {
+	if again := v.BuildHeartbeat(testStart, id, News{}).GetEvents(); len(again) != 0 {
 		t.Errorf("sent again: %v", again)
 	}
 	for n := range uint32(2 * maxQueuedEvents) {
 		v.QueueEvents([]*wire.Event{{Server: n}})
 	}
-	if got := len(v.BuildHeartbeat(testStart, id, 0).GetEvents()); got != maxQueuedEvents {
+	if got := len(v.BuildHeartbeat(testStart, id, News{}).GetEvents()); got != maxQueuedEvents {
 		t.Errorf("%d events queued, want %d", got, maxQueuedEvents)
 	}
 }
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -36,8 +36,8 @@
 }
 
 // BuildHeartbeat builds the next heartbeat to send on a link, or returns nil if the
-// link is down. generation is that of the applied release, 0 if there is none.
-func (v *View) BuildHeartbeat(now time.Time, id LinkID, generation uint64) *wire.Heartbeat {
+// link is down.
+func (v *View) BuildHeartbeat(now time.Time, id LinkID, news News) *wire.Heartbeat {
 	v.detectPause(now)
 	l := v.link(id)
 	if l == nil {
@@ -50,8 +50,10 @@
 		Seq:         l.sentSeq,
 		Heard:       l.lastReceived,
 		Silence:     uint32(now.Sub(l.lastReceivedAt).Milliseconds()),
-		Generation:  generation,
+		Generation:  news.Generation,
+		Roster:      news.Roster,
 	}
+	l.news = l.news.max(news)
 	bytesLeft := v.addPending(now, l, h)
 	if l.syncing {
 		v.addSync(now, l, h, min(bytesLeft, maxSyncBytes))
--- a/member/link.go
+++ b/member/link.go
@@ -52,6 +52,7 @@
 	syncing               bool     // A full sync is in progress.
 	syncCursor            uint64   // Ring position that the full sync has reached.
 	heartbeatsSinceRepair int
+	news                  News // The newest changes that either side has told the other of.
 	reports               reportQueue
 	events                map[uint32]*wire.Event // By backend server.
 }
@@ -192,6 +193,7 @@
 	l.lastReceived = max(l.lastReceived, h.GetSeq())
 	l.lastReceivedAt = now
 	l.rxDown = false
+	l.news = l.news.max(News{Generation: h.GetGeneration(), Roster: h.GetRoster()})
 	l.ackThrough(h.GetHeard())
 	silence := time.Duration(h.GetSilence()) * time.Millisecond
 	wasOneWay := l.oneWay()
--- a/member/service.go
+++ b/member/service.go
@@ -53,10 +53,14 @@
 	OnEvents func(events []*wire.Event)
 	// OnNewerGeneration is called for each heartbeat of a peer whose release has a
 	// higher generation than Generation returns.
-	OnNewerGeneration func(peerAddr string, generation uint64)
+	OnNewerGeneration func(peer *wire.Member, generation uint64)
 	// OnNewerRoster is called for each heartbeat of a peer that knows of a newer
 	// change to the set of backend servers than Roster returns. It requires Roster.
-	OnNewerRoster func(roster uint64)
+	OnNewerRoster func(peer *wire.Member, roster uint64)
+	// FirstHand reports whether this VM learns of changes from the platform itself. In a
+	// full mesh the others need not pass on what all VMs have heard first hand. Nil means
+	// that it does.
+	FirstHand func() bool
 	// OnChange receives state changes, in order.
 	OnChange func(c Change)
 	// OnReplaced is called once, when a process with the same id and a higher
@@ -80,12 +84,11 @@
 	beforeStep func()
 	wake       chan struct{} // Wakes Run to send an urgent heartbeat.
 
-	mu         sync.Mutex
-	view       *View
-	links      map[LinkID]*peer.Link
-	linkIDs    map[*peer.Link]LinkID
-	generation uint64 // Highest generation that this VM has applied.
-	replaced   bool
+	mu       sync.Mutex
+	view     *View
+	links    map[LinkID]*peer.Link
+	linkIDs  map[*peer.Link]LinkID
+	replaced bool
 }
 
 type counters struct {
@@ -127,6 +130,12 @@
 	if o.Generation == nil {
 		o.Generation = func() uint64 { return 0 }
 	}
+	if o.Roster == nil {
+		o.Roster = func() uint64 { return 0 }
+	}
+	if o.FirstHand == nil {
+		o.FirstHand = func() bool { return true }
+	}
 	d := &Driver{
 		opts:       o,
 		count:      newCounters(o.Metrics),
@@ -226,13 +235,13 @@
 		d.opts.OnEvents(h.GetEvents())
 	}
 	if ok && d.opts.OnNewerRoster != nil && h.GetRoster() > d.opts.Roster() {
-		d.opts.OnNewerRoster(h.GetRoster())
+		d.opts.OnNewerRoster(l.Remote(), h.GetRoster())
 	}
 	if len(reports) > 0 && d.opts.OnReports != nil {
 		d.opts.OnReports(reports)
 	}
 	if ok && d.opts.OnNewerGeneration != nil && h.GetGeneration() > d.opts.Generation() {
-		d.opts.OnNewerGeneration(l.Remote().GetPeer(), h.GetGeneration())
+		d.opts.OnNewerGeneration(l.Remote(), h.GetGeneration())
 	}
 }
 
@@ -273,12 +282,9 @@
 
 // step runs one tick of the view and returns the addresses to dial.
 func (d *Driver) step() []string {
-	generation := d.opts.Generation()
+	news, firstHand := d.news(), d.opts.FirstHand()
 	d.mu.Lock()
-	if generation > d.generation {
-		d.generation = generation
-		d.view.HeartbeatNow(time.Now())
-	}
+	d.view.Announce(time.Now(), news, firstHand)
 	plan := d.view.Tick(time.Now())
 	if len(plan.Changes) > 0 {
 		d.snapshot.Store(d.view.Snapshot())
@@ -305,17 +311,18 @@
 	return plan.Dial
 }
 
+// news returns the newest changes that this VM knows of.
+func (d *Driver) news() News {
+	return News{Generation: d.opts.Generation(), Roster: d.opts.Roster()}
+}
+
 // buildHeartbeat builds the heartbeat for a link, or nil if the link is down.
 func (d *Driver) buildHeartbeat(id LinkID) *wire.Heartbeat {
 	d.beforeStep()
-	generation := d.opts.Generation()
+	news := d.news()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h := d.view.BuildHeartbeat(time.Now(), id, generation)
-	if h != nil && d.opts.Roster != nil {
-		h.Roster = d.opts.Roster()
-	}
-	return h
+	return d.view.BuildHeartbeat(time.Now(), id, news)
 }
 
 // dial opens a link, which OnLink registers, or records the failure.
--- a/member/service_test.go
+++ b/member/service_test.go
@@ -285,7 +285,7 @@
 				defer mu.Unlock()
 				return generations[id]
 			}
-			o.OnNewerGeneration = func(_ string, g uint64) {
+			o.OnNewerGeneration = func(_ *wire.Member, g uint64) {
 				mu.Lock()
 				defer mu.Unlock()
 				generations[id] = max(generations[id], g)
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -137,7 +137,7 @@
 	}
 	for _, id := range p.Send {
 		e := v.ends[id]
-		h := v.view.BuildHeartbeat(s.now, id, 0)
+		h := v.view.BuildHeartbeat(s.now, id, News{})
 		v.messages++
 		if s.countBytes {
 			v.bytes += proto.Size(h)
--- a/member/view.go
+++ b/member/view.go
@@ -184,6 +184,30 @@
 	}
 }
 
+// News are the newest changes that a VM knows of, 0 when none.
+type News struct {
+	Generation uint64 // Of the applied release.
+	Roster     uint64 // Of the set of backend servers.
+}
+
+func (n News) max(other News) News {
+	return News{Generation: max(n.Generation, other.Generation), Roster: max(n.Roster, other.Roster)}
+}
+
+// Announce makes a heartbeat due on every link whose peer has not been told of the news and
+// has not told of them. In a full mesh only a VM that has them first hand hurries; the
+// others' regular heartbeats reach those that missed it.
+func (v *View) Announce(now time.Time, news News, firstHand bool) {
+	if !firstHand && len(v.ring) <= v.fullMeshMaxVMs {
+		return
+	}
+	for _, l := range v.links {
+		if l.news.max(news) != l.news {
+			l.nextHeartbeat = now
+		}
+	}
+}
+
 // SetDiscoveredVMs sets the platform's list of VMs, which may be outdated, as
 // addresses to dial. It changes no record. An empty list is ignored.
 func (v *View) SetDiscoveredVMs(vms []store.VM) {
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -117,7 +117,7 @@
 // does not receive the records that it missed.
 func TestNewLinkGetsFullSync(t *testing.T) {
 	v, id := viewWithLink(40)
-	sent := v.BuildHeartbeat(testStart, id, 0).GetMembers()
+	sent := v.BuildHeartbeat(testStart, id, News{}).GetMembers()
 	if len(sent) != 39 { // All but the peer itself.
 		t.Errorf("%d records sent, want 39", len(sent))
 	}
@@ -176,7 +176,7 @@
 	v.links[0].syncing = true
 	sentIDs := map[string]bool{}
 	for i := range 20 {
-		h := v.BuildHeartbeat(testStart.Add(time.Duration(i)*tickInterval), id, 1)
+		h := v.BuildHeartbeat(testStart.Add(time.Duration(i)*tickInterval), id, News{Generation: 1})
 		if size := proto.Size(h); size > 64<<10 {
 			t.Errorf("heartbeat of %d bytes", size)
 		}
@@ -200,7 +200,7 @@
 		sent := 0
 		for i := range 200 {
 			now := testStart.Add(time.Duration(i) * heartbeatInterval)
-			h := v.BuildHeartbeat(now, id, 0)
+			h := v.BuildHeartbeat(now, id, News{})
 			v.links[0].heartbeatsSinceRepair = 0 // No repair.
 			for _, m := range h.GetMembers() {
 				if m.GetId() == vmID(5) {
@@ -259,7 +259,7 @@
 			reports = append(reports, &wire.Report{Service: "layout", Server: fmt.Sprint(k), Good: 1})
 		}
 		v.Report(now, reports)
-		h := v.BuildHeartbeat(now, id, 0)
+		h := v.BuildHeartbeat(now, id, News{})
 		for _, r := range h.GetReports() {
 			total += proto.Size(r)
 			if r.GetServer() == "bad" {
--- a/peer/call.go
+++ b/peer/call.go
@@ -22,6 +22,16 @@
 	return reply, nil
 }
 
+// Pull requests the changes of a feed from the peer at addr. Errors are as for Forward.
+func (p *Peer) Pull(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
+	reply := &wire.Changes{}
+	req := &wire.Request{Call: &wire.Request_Pull{Pull: pull}}
+	if err := p.call(ctx, addr, req, reply, kindPull); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // Forward sends a request to the peer at addr, over an existing link or a short-lived
 // connection, and returns its reply. The error is fault.Unreachable if no byte of the
 // request was or will be sent, fault.BodyTooLarge if the request exceeds the message
--- a/peer/count.go
+++ b/peer/count.go
@@ -14,6 +14,7 @@
 	kindHeartbeat messageKind = "heartbeat"
 	kindFetch     messageKind = "fetch"
 	kindForward   messageKind = "forward"
+	kindPull      messageKind = "pull"
 )
 
 // messageCounters counts the messages of one kind in both directions.
@@ -50,7 +51,7 @@
 		replacedHeartbeats:  set.GetOrCreateCounter(`azuredeal_peer_heartbeats_replaced_total`),
 		oversizedHeartbeats: set.GetOrCreateCounter(`azuredeal_peer_heartbeats_too_large_total`),
 	}
-	for _, k := range []messageKind{kindHello, kindHeartbeat, kindFetch, kindForward} {
+	for _, k := range []messageKind{kindHello, kindHeartbeat, kindFetch, kindForward, kindPull} {
 		c.byKind[k] = &messageCounters{
 			sentMessages:     set.GetOrCreateCounter(fmt.Sprintf(`azuredeal_peer_sent_messages_total{kind=%q}`, k)),
 			sentBytes:        set.GetOrCreateCounter(fmt.Sprintf(`azuredeal_peer_sent_bytes_total{kind=%q}`, k)),
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -55,6 +55,8 @@
 
 	// OnFetch handles a Fetch of a peer. The context ends with Run or after 60 s.
 	OnFetch func(ctx context.Context, f *wire.Fetch) (*wire.Chunks, error)
+	// OnPull handles a Pull of a peer.
+	OnPull func(p *wire.Pull) *wire.Changes
 	// OnForward runs a forwarded request. The context ends with Run, at the deadline of
 	// the request or after 60 s, but not with the connection: a request that has
 	// started keeps running so that its response can be stored. An error is returned
--- a/peer/session.go
+++ b/peer/session.go
@@ -113,6 +113,9 @@
 	case *wire.Request_Forward:
 		s.peer.counters.byKind[kindForward].received(n)
 		s.handleForward(stream, call.Forward)
+	case *wire.Request_Pull:
+		s.peer.counters.byKind[kindPull].received(n)
+		s.handlePull(stream, call.Pull)
 	}
 }
 
@@ -151,6 +154,19 @@
 	_ = s.write(stream, chunks, kindFetch, maxMessageBytes)
 }
 
+// handlePull replies with the changes that the peer asks for, or with none when they do
+// not fit into a message; the peer then reads the platform.
+func (s *session) handlePull(stream *yamux.Stream, pull *wire.Pull) {
+	if s.peer.opts.OnPull == nil {
+		return
+	}
+	changes := s.peer.opts.OnPull(pull)
+	if proto.Size(changes) > maxMessageBytes {
+		changes = &wire.Changes{}
+	}
+	_ = s.write(stream, changes, kindPull, maxMessageBytes)
+}
+
 func (s *session) handleForward(stream *yamux.Stream, f *wire.Forward) {
 	if s.peer.opts.OnForward == nil {
 		return
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -3,4 +3,4 @@
 // wire.proto; `go generate` needs the tools pinned in tools/gen.
 package wire
 
-//go:generate sh -c "cd ../tools/gen && go build -o ../../bin/ tool && cd ../.. && PATH=$PWD/bin:$PATH bin/buf generate wire"
+//go:generate sh -c "cd ../tools/gen && go build -o ../../bin/ tool && cd ../.. && PATH=${DOLLAR}PWD/bin:${DOLLAR}PATH bin/buf generate wire"
