--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -230,7 +230,7 @@
 		x.end(outcome)
 		return fault.Wrap(kind, err, "response")
 	}
-	if errors.Is(err, errHeaderTooLarge) {
+	if errors.Is(err, ErrHeaderTooLarge) {
 		x.end(board.Failure)
 		return fault.Wrap(fault.AnswerTooLarge, err, "response header")
 	}
--- a/pool/link.go
+++ b/pool/link.go
@@ -20,7 +20,9 @@
 	writeBufferBytes = 4 << 10
 )
 
-var errHeaderTooLarge = errors.New("response header is too large")
+// ErrHeaderTooLarge is the cause of a fault of kind AnswerTooLarge when the head of a
+// response exceeds Options.Header. What follows may be no response at all.
+var ErrHeaderTooLarge = errors.New("response header is too large")
 
 // serverConn is one connection to the backend server, with the state of its current
 // exchange.
@@ -112,7 +114,7 @@
 
 func (r connReader) Read(b []byte) (int, error) {
 	if r.c.readQuota <= 0 {
-		return 0, errHeaderTooLarge
+		return 0, ErrHeaderTooLarge
 	}
 	if int64(len(b)) > r.c.readQuota {
 		b = b[:r.c.readQuota]
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -217,6 +217,9 @@
 		return true
 	case fault.Interrupted, fault.Truncated, fault.Mismatch:
 		return d.call.repeatable
+	case fault.AnswerTooLarge:
+		// A body that is too large is the answer of every server.
+		return d.call.repeatable && errors.Is(err, pool.ErrHeaderTooLarge)
 	default:
 		return false
 	}
--- a/proxy/attempt_test.go
+++ b/proxy/attempt_test.go
@@ -119,6 +119,24 @@
 	failIf(t, body != "mine", "body %q", body)
 }
 
+// Guards against a server that sends a head without end: a request that may be repeated is
+// lost there although others could serve it, or one that must not run twice is repeated.
+func TestRetryAfterEndlessHead(t *testing.T) {
+	endless := serveRaw(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for err == nil {
+			_, err = io.WriteString(c, "X-Filler: "+strings.Repeat("x", 1<<10)+"\r\n")
+		}
+		return false
+	})
+	spare := serveRaw(t, echoBody)
+	f := newFixture(t, nil, endless, spare)
+	expectResponse(t, f.do("POST", "/look/x", ""), 200, "", "")
+	expectResponse(t, f.do("POST", "/act", ""), 502, "AnswerTooLarge", "unknown")
+	failIf(t, spare.requests.Load() != 1, "%d requests at the other server", spare.requests.Load())
+	f.expectIdle(t)
+}
+
 // Guards against failing an idempotent request because its idle connection was
 // closed, and against sending a non-idempotent request on an idle connection.
 func TestRetryOnStaleConnection(t *testing.T) {
