--- a/internal/fleet/feed/fleet_test.go
+++ b/internal/fleet/feed/fleet_test.go
@@ -102,6 +102,7 @@
 	links      []*testVM
 	isWatcher  atomic.Bool
 	turnedAway atomic.Bool // The platform refuses its calls.
+	silent     atomic.Bool // Its watches get no response.
 	down       atomic.Bool // The VM neither answers nor sends.
 	updates    chan Update
 }
@@ -150,6 +151,10 @@
 					f.calls.Add(1)
 					return nil, 0, errTurnedAway
 				}
+				if vm.silent.Load() {
+					<-ctx.Done()
+					return nil, 0, ctx.Err()
+				}
 				return f.watch(ctx, after, wait)
 			},
 		})
@@ -305,6 +310,21 @@
 	})
 }
 
+// Guards against a watcher whose own watch hears nothing and that takes a change over from
+// the others too late. Nothing is pausing here, so the change has no right to that time.
+func TestWatcherWithSilentWatchFollowsOthers(t *testing.T) {
+	inFleet(t, 4, 18, 8, func(f *testFleet) {
+		for _, vm := range f.vms {
+			if vm.isWatcher.Load() {
+				vm.silent.Store(true)
+				break
+			}
+		}
+		time.Sleep(10 * time.Second) // The watch before it ends.
+		f.waitUntilKnown(t, f.set("server"), inForce-coalesceDelay)
+	})
+}
+
 // Guards against watchers that go on waiting for a history that the platform has dropped.
 func TestHistoryDroppedUnderAWatch(t *testing.T) {
 	inFleet(t, 4, 18, 8, func(f *testFleet) {
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -29,10 +29,10 @@
 	// fleet see changes in quick succession at different times, and each pull of changes
 	// rebuilds the release.
 	pullInterval = 400 * time.Millisecond
-	// missedChangeDelay is how long this VM may be behind another one before it interrupts
-	// its watch. It is above coalesceDelay, by which VMs can differ without having missed
-	// a change.
-	missedChangeDelay = 1100 * time.Millisecond
+	// missedChangeDelay is how long a watcher may be behind another VM before it interrupts
+	// its watch and pulls the change. It leaves time for the response of the watch, which
+	// the platform sends to all watchers at the same moment.
+	missedChangeDelay = 300 * time.Millisecond
 	// pullPatience is how long a VM that does not watch tries to pull a known change from
 	// other VMs before it reads the platform.
 	pullPatience = 600 * time.Millisecond
@@ -46,11 +46,11 @@
 	// catchUpWait is how long the platform may let a VM wait that looks for changes that
 	// it could not pull.
 	catchUpWait = 200 * time.Millisecond
-	// watchWaitPerWatcher makes one watch of the fleet end about every second. When
+	// watchWaitPerWatcher makes one watch of the fleet end about every half second. When
 	// the platform drops its history, watches can go on waiting although they have missed a
 	// change; the first VM whose watch ends learns of the change, and its heartbeats
 	// announce the revision to the other VMs.
-	watchWaitPerWatcher = 1200 * time.Millisecond
+	watchWaitPerWatcher = 600 * time.Millisecond
 	minWatchWait        = time.Second
 	// maxSources bounds the VMs that are remembered to pull from; each tells again with its
 	// next heartbeat.
