--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -203,6 +203,7 @@
 			v.opts.ObservePeerRevisions(v.feedPeer(peer), 0, servers)
 		}
 		opts.FirstHand = v.WatchesPlatform
+		opts.ZoneSharing = true
 	}
 	return member.New(opts), nil
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"reflect"
 	"slices"
 	"sync"
@@ -18,11 +19,19 @@
 )
 
 const (
-	// subsetSize is the number of backend servers of a service that a VM uses, unless the
-	// floor of the service is higher; its preferred servers come on top. It is above the
-	// 20 servers of the largest service of the first users, so that each of their few VMs
-	// uses all servers.
-	subsetSize            = 24
+	// subsetSize is the number of backend servers up to which a VM uses all servers of a
+	// service. It is above the 20 servers of the largest service of the
+	// first users, so that each of their few VMs uses all servers.
+	subsetSize = 24
+	// nearVMs is how many VMs of its zone on either side of a VM share their preferred
+	// servers with it, with the profile switch. A server is used by so many VMs on either
+	// side of the one that prefers it.
+	nearVMs = 4
+	// farServers is the least number of servers of other zones that a VM uses besides.
+	farServers = 12
+	// vmsPerServer is the number of VMs of other zones that use a server in a fleet with
+	// few VMs.
+	vmsPerServer          = 4
 	watcherCheckInterval  = time.Second
 	positionCheckInterval = time.Second // Members are suspected after 2 s.
 )
@@ -34,25 +43,65 @@
 	vm           string
 	zone         string
 	index, count int
+	fleet        int // Number of VMs of the fleet; 0 when unknown.
+}
+
+// fleetSizeTolerance is the share by which the fleet may grow or shrink before the VMs
+// choose anew how many backend servers they use.
+const fleetSizeTolerance = 0.1
+
+// roundFleet returns the fleet size that p keeps when the fleet has n VMs.
+func (p position) roundFleet(n int) int {
+	if change := float64(n - p.fleet); math.Abs(change) <= fleetSizeTolerance*float64(p.fleet) {
+		return p.fleet
+	}
+	return n
 }
 
 // preferredServers returns the addresses of the servers of s that a VM at this position
 // prefers: an even share of those in its zone, at least one, so that VMs share servers
 // when there are fewer servers than VMs.
 func (p position) preferredServers(s note.Service) []string {
+	zone := p.zoneServers(s)
+	if p.count == 0 || len(zone) == 0 {
+		return nil
+	}
+	from, to := p.share(p.index, len(zone))
+	return zone[from:to]
+}
+
+// zoneServers returns the addresses of the servers of s in the zone, in order.
+func (p position) zoneServers(s note.Service) []string {
 	var zone []string
 	for _, b := range s.Servers {
 		if b.Zone == p.zone && !b.Leaving {
 			zone = append(zone, b.Addr)
 		}
 	}
-	if p.count == 0 || len(zone) == 0 {
-		return nil
-	}
 	slices.Sort(zone)
-	from := p.index * len(zone) / p.count
-	to := max(from+1, (p.index+1)*len(zone)/p.count)
-	return zone[from:to]
+	return zone
+}
+
+// share returns the range that the VM at an index prefers among the servers of the zone.
+func (p position) share(index, servers int) (from, to int) {
+	from = index * servers / p.count
+	return from, max(from+1, (index+1)*servers/p.count)
+}
+
+// nearServers returns the addresses of the servers of the zone that the VM uses: those that
+// it or one of the VMs next to it prefers. VMs next to each other are linked, so the VMs
+// that use a server tell each other what they see of it.
+func (p position) nearServers(s note.Service) []string {
+	zone := p.zoneServers(s)
+	if p.count <= 2*nearVMs+1 {
+		return zone
+	}
+	var out []string
+	for i := p.index - nearVMs; i <= p.index+nearVMs; i++ {
+		from, to := p.share((i+p.count)%p.count, len(zone))
+		out = append(out, zone[min(from, len(zone)):min(to, len(zone))]...)
+	}
+	return lo.Uniq(out)
 }
 
 // subsetRelease returns the release with only the backend servers that the VM uses.
@@ -64,17 +113,31 @@
 	return note.NewRelease(rel.Generation(), services, rel.Routes(), rel.Accounts())
 }
 
+// subsetServers returns the backend servers of s that the VM uses. With the profile switch
+// these are the near servers and some of the other zones, for the time in which the near
+// ones have no room: the fewer servers a VM uses, the more of its requests each gets, and
+// the sooner they show that it fails. With the other profiles a VM holds the floor of the
+// service by itself and uses at least so many servers of all zones.
 func subsetServers(s note.Service, p position) []note.Server {
 	if len(s.Servers) <= subsetSize {
 		return s.Servers
 	}
-	targets := lo.Map(s.Servers, func(b note.Server, _ int) *pick.Target {
-		return pick.NewTarget(b.Addr, b.Zone, b.Slots)
-	})
-	chosen := lo.SliceToMap(pick.Subset(p.vm, targets, subsetSize, s.Floor), func(t *pick.Target) (string, bool) {
-		return t.Addr(), true
-	})
-	for _, addr := range p.preferredServers(s) {
+	chosen := map[string]bool{}
+	choose := func(servers []note.Server, size, floor int) {
+		targets := lo.Map(servers, func(b note.Server, _ int) *pick.Target {
+			return pick.NewTarget(b.Addr, b.Zone, b.Slots)
+		})
+		for _, t := range pick.Subset(p.vm, targets, size, floor) {
+			chosen[t.Addr()] = true
+		}
+	}
+	if s.Detection.Profile != note.ProfileSwitch || p.count == 0 {
+		choose(s.Servers, subsetSize, s.Floor)
+	} else {
+		far := lo.Filter(s.Servers, func(b note.Server, _ int) bool { return b.Zone != p.zone })
+		choose(far, max(farServers, vmsPerServer*len(far)/p.fleet), 0)
+	}
+	for _, addr := range p.nearServers(s) {
 		chosen[addr] = true
 	}
 	return lo.Filter(s.Servers, func(b note.Server, _ int) bool { return chosen[b.Addr] })
@@ -104,10 +167,12 @@
 // runPositionUpdates updates the position of this VM from the member list until ctx is
 // done.
 func (v *VM) runPositionUpdates(ctx context.Context) error {
+	fleet := 0
 	for {
 		zone := v.zoneVMs()
 		slices.Sort(zone)
-		next := position{vm: v.settings.Name, zone: v.settings.Zone}
+		fleet = position{fleet: fleet}.roundFleet(v.Alive())
+		next := position{vm: v.settings.Name, zone: v.settings.Zone, fleet: fleet}
 		if i, ok := slices.BinarySearch(zone, v.settings.Name); ok {
 			next.index, next.count = i, len(zone)
 		}
--- a/member/choose.go
+++ b/member/choose.go
@@ -1,15 +1,23 @@
 package member
 
 import (
+	"cmp"
 	"maps"
 	"math/bits"
 	"slices"
 	"time"
 )
 
-// peersPerVM is the number of peers that a VM chooses and dials. Links from
-// peers that chose this VM come in addition.
-const peersPerVM = 8
+const (
+	// peersPerVM is the number of peers that a VM chooses and dials, besides its
+	// neighbours in the availability zone. Links from peers that chose this VM come
+	// in addition.
+	peersPerVM = 8
+	// zoneNeighbours is the number of VMs of its own availability zone that a VM dials,
+	// the next ones in the order of their ids. With those that dial it, it is linked to
+	// all VMs within this distance, with which it shares most of its backend servers.
+	zoneNeighbours = 4
+)
 
 // Peers returns the members that this VM has chosen as peers.
 func (v *View) Peers() []Member {
@@ -21,8 +29,8 @@
 }
 
 // choosePeers selects the peers again if the view has changed: the two ring
-// neighbours, one member of each other availability zone, and the rest by
-// rendezvous hash.
+// neighbours, one member of each other availability zone, some by rendezvous hash, and
+// the neighbours in its own zone.
 func (v *View) choosePeers(now time.Time) {
 	for _, r := range v.ring {
 		if !r.avoidUntil.IsZero() && !now.Before(r.avoidUntil) {
@@ -47,6 +55,9 @@
 		}
 		v.addPeer(r)
 	}
+	if v.zoneSharing {
+		v.chooseZoneNeighbours()
+	}
 }
 
 // peerLimit returns how many peers this VM chooses: all other members up to
@@ -104,6 +115,24 @@
 	}
 }
 
+// chooseZoneNeighbours chooses the next VMs of the own availability zone in the order of
+// their ids, unless they are chosen already.
+func (v *View) chooseZoneNeighbours() {
+	var zone []*record
+	for _, r := range v.ring {
+		if r.zone == v.self.zone && (r == v.self || r.state == Alive) {
+			zone = append(zone, r)
+		}
+	}
+	slices.SortFunc(zone, func(a, b *record) int { return cmp.Compare(a.id, b.id) })
+	self := slices.Index(zone, v.self)
+	for i := 1; i <= zoneNeighbours && i < len(zone); i++ {
+		if r := zone[(self+i)%len(zone)]; v.isCandidate(r) {
+			v.addPeer(r)
+		}
+	}
+}
+
 // bestCandidate returns the matching candidate with the highest rendezvous hash, or nil.
 // The hash of a pair is asymmetric: with a symmetric hash, VMs choose each other
 // and have only peersPerVM links in total, and of 1,300 VMs one often loses all
--- a/member/report.go
+++ b/member/report.go
@@ -136,11 +136,15 @@
 
 const maxQueuedEvents = 1024 // Bound on backend servers with events queued on one link.
 
-// QueueEvents queues events on all links. Queued events on one backend server are
-// summed, so that a slow link holds at most one event per backend server. Events
-// on further backend servers are dropped at maxQueuedEvents.
+// QueueEvents queues events on all links, or with zoneSharing on those within the
+// availability zone. Queued events on one backend server are summed, so that a slow link
+// holds at most one event per backend server. Events on further backend servers are
+// dropped at maxQueuedEvents.
 func (v *View) QueueEvents(events []*wire.Event) {
 	for _, l := range v.links {
+		if !v.sendsEventsTo(l) {
+			continue
+		}
 		if l.events == nil {
 			l.events = map[uint32]*wire.Event{}
 		}
@@ -159,6 +163,26 @@
 	}
 }
 
+// sendsEventsTo reports whether events are sent on a link. In a full mesh all VMs hear all
+// events.
+func (v *View) sendsEventsTo(l *link) bool {
+	if !v.zoneSharing || len(v.ring) <= v.fullMeshMaxVMs {
+		return true
+	}
+	r := v.members[l.remote]
+	return r != nil && r.zone == v.self.zone
+}
+
+// EventsNow makes a heartbeat due on every link with queued events.
+func (v *View) EventsNow(now time.Time) {
+	v.detectPause(now)
+	for _, l := range v.links {
+		if len(l.events) > 0 {
+			l.nextHeartbeat = now
+		}
+	}
+}
+
 // PopReceivedReports returns the reports of other VMs accepted since the last
 // call, with their age on arrival.
 func (v *View) PopReceivedReports() []*wire.Report {
--- a/member/service.go
+++ b/member/service.go
@@ -71,6 +71,11 @@
 	// others; 0 disables the full mesh.
 	FullMeshMaxVMs int
 
+	// ZoneSharing says that VMs share backend servers with those next to them in their
+	// availability zone, in the order of ids. Without a full mesh, each VM then links to
+	// these as well, and events are sent within the zone only.
+	ZoneSharing bool
+
 	// Metrics is the set to register counters in; nil creates a private set.
 	Metrics *metrics.Set
 }
@@ -145,7 +150,7 @@
 		links:      map[LinkID]*peer.Link{},
 		linkIDs:    map[*peer.Link]LinkID{},
 	}
-	d.view.fullMeshMaxVMs = o.FullMeshMaxVMs
+	d.view.fullMeshMaxVMs, d.view.zoneSharing = o.FullMeshMaxVMs, o.ZoneSharing
 	d.snapshot.Store(d.view.Snapshot())
 	return d
 }
@@ -173,7 +178,7 @@
 	d.mu.Lock()
 	d.view.QueueEvents(events)
 	if urgent {
-		d.view.HeartbeatNow(time.Now())
+		d.view.EventsNow(time.Now())
 	}
 	d.mu.Unlock()
 	if urgent {
--- a/member/view.go
+++ b/member/view.go
@@ -111,7 +111,8 @@
 	reports     reportTable
 	rng         *rand.Rand
 
-	fullMeshMaxVMs int // Number of members up to which all are chosen as peers.
+	fullMeshMaxVMs int  // Number of members up to which all are chosen as peers.
+	zoneSharing    bool // VMs share backend servers with their neighbours in the availability zone.
 	chosen         []*record
 	peersDirty     bool
 	lastCall       time.Time // Time of the last method call.
@@ -176,14 +177,6 @@
 // record.
 type discoveredVM struct{ id, addr string }
 
-// HeartbeatNow makes a heartbeat due on every link, for urgent changes.
-func (v *View) HeartbeatNow(now time.Time) {
-	v.detectPause(now)
-	for _, l := range v.links {
-		l.nextHeartbeat = now
-	}
-}
-
 // News are the newest changes that a VM knows of, 0 when none.
 type News struct {
 	Generation uint64 // Of the applied release.
