--- a/internal/fleet/feed/fleet_test.go
+++ b/internal/fleet/feed/fleet_test.go
@@ -325,6 +325,47 @@
 	})
 }
 
+// Guards against a VM that restarts and uses a server again that had left before, as the
+// listing that it starts with is seconds behind.
+func TestRestartWithStaleListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPlatform()
+		p.set("server")
+		stale, revision, _ := p.list(t.Context(), true)
+		p.mu.Lock()
+		p.revision++
+		p.history = append(p.history, NewRemoval("server", p.revision))
+		p.mu.Unlock()
+		failures := 2 // Of the watch that follows the listing.
+		f := NewFollower(Options{
+			Kind: "servers", Log: zerolog.Nop(), AllowStale: true,
+			Fleet: Fleet{Size: func() int { return 18 }, Watchers: func() int { return 4 }, Watches: func() bool { return false }},
+			List:  func(context.Context, bool) ([]Change, uint64, error) { return stale, revision, nil },
+			Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+				if failures--; failures >= 0 {
+					return nil, 0, errTurnedAway
+				}
+				return p.watch(ctx, after, wait)
+			},
+		})
+		updates := make(chan Update)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Run(ctx, updates) }()
+		used := map[string]bool{}
+		for len(used) == 0 {
+			u := <-updates
+			for _, c := range u.Changes {
+				used[c.Name()] = !c.Removed()
+			}
+		}
+		if used["server"] {
+			t.Error("the first update holds a server that has left")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against watchers that go on waiting for a history that the platform has dropped.
 func TestHistoryDroppedUnderAWatch(t *testing.T) {
 	inFleet(t, 4, 18, 8, func(f *testFleet) {
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -52,6 +52,9 @@
 	// announce the revision to the other VMs.
 	watchWaitPerWatcher = 600 * time.Millisecond
 	minWatchWait        = time.Second
+	// listingWait is how long the platform may let a VM wait that looks for changes after a
+	// stale listing. There is nothing to wait for, but the platform takes no shorter time.
+	listingWait = time.Millisecond
 	// maxSources bounds the VMs that are remembered to pull from; each tells again with its
 	// next heartbeat.
 	maxSources = 16
@@ -201,7 +204,7 @@
 			return ctx.Err()
 		case errors.Is(err, ErrHistoryGone):
 			f.opts.Log.Info().Str("kind", f.opts.Kind).Uint64("revision", f.log.Known()).Msg("platform dropped its history; listing all objects")
-			listed = false
+			listed, allowStale = false, false
 			if f.other != nil {
 				f.other.interruptWatch()
 			}
@@ -211,7 +214,7 @@
 		case err != nil:
 			u = Update{Err: err}
 		default:
-			// Only the first listing may be stale; later ones follow a loss of history.
+			// Only the first listing may be stale, as later ones follow a loss of history.
 			listed, allowStale = true, false
 			listing.Reset()
 			following.Reset()
@@ -283,17 +286,26 @@
 	return Update{}, f.awaitNews(ctx, roleInterval)
 }
 
-// list takes in a listing of all objects.
+// list takes in a listing of all objects. A stale one is brought up to date before anything
+// uses it: a VM that restarts must not send requests to servers that have left since.
 func (f *Follower) list(ctx context.Context, allowStale bool) (Update, error) {
 	objects, upto, err := f.opts.List(ctx, allowStale)
 	if err != nil {
 		return Update{}, err
 	}
+	var missed []Change
+	newest := upto
+	if allowStale {
+		if missed, newest, err = f.opts.Watch(ctx, upto, listingWait); err != nil {
+			return Update{}, err
+		}
+	}
 	changes, ok := f.log.Replace(upto, objects)
 	if !ok {
 		return Update{}, errors.Wrapf(errBehind, "revision %d", upto)
 	}
-	return Update{Changes: changes}, nil
+	missed, _ = f.log.Append(upto, newest, missed)
+	return Update{Changes: append(changes, missed...)}, nil
 }
 
 // watch waits for changes. It returns errInterrupted when cancelWatch ends the wait.
