--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -181,8 +181,8 @@
 }
 
 // Since returns the changes after a revision, in order, and the revision that they lead to.
-// They may begin with some from before that revision. It returns false when the history
-// does not reach back to it.
+// Removals from before that revision may be among them, as platforms differ in the revision
+// that they state for these. It returns false when the history does not reach back to it.
 func (l *Log) Since(after uint64) (changes []Change, upto uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -190,8 +190,13 @@
 		return nil, 0, false
 	}
 	for _, b := range l.history {
-		if b.upto > after {
-			changes = append(changes, b.changes...)
+		if b.upto <= after {
+			continue
+		}
+		for _, c := range b.changes {
+			if c.removed || c.revision > after {
+				changes = append(changes, c)
+			}
 		}
 	}
 	return changes, max(after, l.known), true
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -39,7 +39,7 @@
 	}{
 		{9, "[]", 0, false}, // Before the first listing: what was removed until then is unknown.
 		{10, "[a@12 -b@13 b@22]", 25, true},
-		{12, "[a@12 -b@13 b@22]", 25, true}, // In the middle of a response of the platform.
+		{12, "[-b@13 b@22]", 25, true}, // In the middle of a response of the platform.
 		{13, "[b@22]", 25, true},
 		{25, "[]", 25, true},
 		{30, "[]", 30, true}, // The other VM knows more.
