--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -23,6 +23,10 @@
 	// service. It is above the 20 servers of the largest service of the
 	// first users, so that each of their few VMs uses all servers.
 	subsetSize = 24
+	// maxAllServers is the number of backend servers up to which a VM uses all servers of a
+	// service with the profile switch. With so few, the VMs of one zone could leave too many
+	// of them without requests while some of these are doubtful.
+	maxAllServers = 64
 	// nearVMs is how many VMs of its zone on either side of a VM share their preferred
 	// servers with it, with the profile switch. A server is used by so many VMs on either
 	// side of the one that prefers it.
@@ -119,7 +123,8 @@
 // the sooner they show that it fails. With the other profiles a VM holds the floor of the
 // service by itself and uses at least so many servers of all zones.
 func subsetServers(s note.Service, p position) []note.Server {
-	if len(s.Servers) <= subsetSize {
+	switching := s.Detection.Profile == note.ProfileSwitch
+	if len(s.Servers) <= subsetSize || switching && len(s.Servers) <= maxAllServers {
 		return s.Servers
 	}
 	chosen := map[string]bool{}
@@ -131,7 +136,7 @@
 			chosen[t.Addr()] = true
 		}
 	}
-	if s.Detection.Profile != note.ProfileSwitch || p.count == 0 {
+	if !switching || p.count == 0 {
 		choose(s.Servers, subsetSize, s.Floor)
 	} else {
 		far := lo.Filter(s.Servers, func(b note.Server, _ int) bool { return b.Zone != p.zone })
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -8,10 +8,16 @@
 package feed
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"maps"
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/azuredeal/azuredeal/wire"
 )
 
@@ -57,7 +63,7 @@
 // gets all objects.
 const (
 	maxHistoryChanges = 4096
-	maxHistoryBytes   = 512 << 10 // Fits into one message between VMs.
+	maxHistoryBytes   = 2 << 20 // Compressed, it fits into one message between VMs.
 )
 
 // Log is what a VM knows of one kind of object: all objects and the recent changes. It is
@@ -209,11 +215,11 @@
 	if !ok {
 		changes, upto = l.all()
 	}
-	out := &wire.Changes{Upto: upto, Complete: !ok, Changes: make([]*wire.Change, 0, len(changes))}
-	for _, c := range changes {
-		out.Changes = append(out.Changes, &wire.Change{Name: c.name, Revision: c.revision, Removed: c.removed, Data: c.data})
+	packed, err := pack(changes)
+	if err != nil {
+		return &wire.Changes{} // The other VM reads the platform.
 	}
-	return out
+	return &wire.Changes{Upto: upto, Complete: !ok, Changes: packed}
 }
 
 // all returns all objects and the revision up to which they are known.
@@ -223,11 +229,54 @@
 	return slices.Collect(maps.Values(l.objects)), l.known
 }
 
-// FromWire returns the changes of a reply.
-func FromWire(reply *wire.Changes) []Change {
-	out := make([]Change, 0, len(reply.GetChanges()))
-	for _, c := range reply.GetChanges() {
+// maxUnpackedBytes bounds the changes of one reply.
+const maxUnpackedBytes = 16 << 20
+
+// compressors holds writers for reuse, as each takes about 1 MB.
+var compressors = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(nil, flate.BestSpeed) // The level is valid, so there is no error.
+	return w
+}}
+
+// pack encodes and compresses changes.
+func pack(changes []Change) ([]byte, error) {
+	list := &wire.ChangeList{Changes: make([]*wire.Change, 0, len(changes))}
+	for _, c := range changes {
+		list.Changes = append(list.Changes, &wire.Change{Name: c.name, Revision: c.revision, Removed: c.removed, Data: c.data})
+	}
+	data, err := proto.Marshal(list)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode changes")
+	}
+	var out bytes.Buffer
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&out)
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress changes")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress changes")
+	}
+	return out.Bytes(), nil
+}
+
+// unpack is the inverse of pack.
+func unpack(packed []byte) ([]Change, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpackedBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress changes")
+	}
+	if len(data) > maxUnpackedBytes {
+		return nil, errors.Newf("changes of more than %d bytes", maxUnpackedBytes)
+	}
+	list := &wire.ChangeList{}
+	if err := proto.Unmarshal(data, list); err != nil {
+		return nil, errors.Wrap(err, "decode changes")
+	}
+	out := make([]Change, 0, len(list.GetChanges()))
+	for _, c := range list.GetChanges() {
 		out = append(out, Change{name: c.GetName(), revision: c.GetRevision(), removed: c.GetRemoved(), data: c.GetData()})
 	}
-	return out
+	return out, nil
 }
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -39,8 +39,9 @@
 	// pullTimeout is the time limit of one pull. It leaves time for a second VM.
 	pullTimeout = 300 * time.Millisecond
 	// nearDelay is how long a VM waits for news from a VM of its own availability zone,
-	// after news from another zone. Traffic between zones is expensive.
-	nearDelay = 100 * time.Millisecond
+	// after news from another zone. Traffic between zones is expensive, and news takes up
+	// to 100 ms from link to link.
+	nearDelay = 250 * time.Millisecond
 	// roleInterval is how often a VM that does not watch checks whether it should.
 	roleInterval = 500 * time.Millisecond
 	// catchUpWait is how long the platform may let a VM wait that looks for changes that
@@ -431,7 +432,10 @@
 	if reply.GetUpto() <= after {
 		return Update{}, errors.Newf("its revision %d is not above %d", reply.GetUpto(), after)
 	}
-	changes := FromWire(reply)
+	changes, err := unpack(reply.GetChanges())
+	if err != nil {
+		return Update{}, err
+	}
 	if reply.GetComplete() {
 		changes, _ = f.log.Replace(reply.GetUpto(), changes)
 	} else {
