--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
@@ -212,8 +213,15 @@
 	return feed.Peer{Addr: m.GetPeer(), Near: m.GetZone() == v.settings.Zone}
 }
 
+// logMemberChange logs a change of another VM. In a fleet that is not linked in a full mesh,
+// changes in other availability zones are of level debug, so that the lines of a VM do not
+// grow with the fleet.
 func (v *VM) logMemberChange(c member.Change) {
-	v.log.Info().Str("member", c.Member.ID()).Str("zone", c.Member.Zone()).
+	level := zerolog.InfoLevel
+	if c.Member.Zone() != v.settings.Zone && v.Alive() > v.settings.Peer.FullMeshMaxVMs {
+		level = zerolog.DebugLevel
+	}
+	v.log.WithLevel(level).Str("member", c.Member.ID()).Str("zone", c.Member.Zone()).
 		Stringer("before", c.From).Stringer("state", c.Member.State()).Msg("member changed state")
 }
 
