--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -205,7 +205,7 @@
 	alone := len(byZone) == 1 && len(byZone[v.settings.Zone]) == 1
 	watchers := feed.Watchers(ids)
 	v.watchers.Store(int64(len(watchers)))
-	watcher := slices.Contains(watchers, v.settings.Name) && !(alone && joining)
+	watcher := slices.Contains(watchers, v.settings.Name) && (!alone || !joining)
 	if v.watcher.Swap(watcher) != watcher {
 		v.log.Info().Bool("watcher", watcher).Msg("role in following the platform changed")
 	}
--- a/internal/fleet/feed/fleet_test.go
+++ b/internal/fleet/feed/fleet_test.go
@@ -114,7 +114,7 @@
 
 // startFleet starts VMs in availability zones by turns; each links to degree others, and
 // those link back.
-func startFleet(t *testing.T, ctx context.Context, zones, size, degree int) *testFleet {
+func startFleet(ctx context.Context, t *testing.T, zones, size, degree int) *testFleet {
 	f := &testFleet{testPlatform: newTestPlatform()}
 	f.set("first")
 	random := rand.New(rand.NewPCG(seed.For(t, 1), 0))
@@ -221,7 +221,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := startFleet(t, ctx, zones, size, degree)
+		f := startFleet(ctx, t, zones, size, degree)
 		time.Sleep(inForce)
 		fn(f)
 		cancel()
