--- a/member/view.go
+++ b/member/view.go
@@ -53,9 +53,10 @@
 	maxTombstones = 8192
 	maxLinks      = 64
 	// softLinkLimit is the number of links above which links to unchosen peers are
-	// closed. In a stable fleet a VM has about 14 links, and 30 at the tail of the
-	// distribution.
-	softLinkLimit = 32
+	// closed. In a stable fleet a VM has about 14 links, 24 where it shares backend
+	// servers within its zone, and 34 at the tail of the distribution. A limit within
+	// the distribution would close links that their peers open again at once.
+	softLinkLimit = 48
 )
 
 // record is a member together with the local observations of this VM.
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -15,9 +15,17 @@
 var testStart = time.Unix(1_000_000, 0)
 
 // graph returns the records of n members and, for each, the peers it chooses.
-func graph(n, zones int, seed uint64) ([]*record, [][]*record) {
+func graph(n, zones int, seed uint64) ([]*record, [][]*record) { return peersOf(n, zones, seed, false) }
+
+// sharingGraph is graph for VMs that share backend servers within their zone.
+func sharingGraph(n, zones int, seed uint64) ([]*record, [][]*record) {
+	return peersOf(n, zones, seed, true)
+}
+
+func peersOf(n, zones int, seed uint64, zoneSharing bool) ([]*record, [][]*record) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	v := NewView(testStart, NewMember("self", 1, "zone-0", "self", ""), nil, seed)
+	v.zoneSharing = zoneSharing
 	v.remove(testStart, v.self)
 	for i := range n {
 		id := fmt.Sprintf("vm-%x", rng.Uint64())
@@ -103,6 +111,30 @@
 	}
 }
 
+// Guards against a VM that more peers have chosen than it may keep links: it would close and
+// accept the same links again and again, each with a handshake and a full sync.
+func TestSharingFleetStaysBelowSoftLinkLimit(t *testing.T) {
+	for _, c := range []struct{ n, zones int }{{65, 4}, {178, 6}, {300, 6}, {1300, 6}} {
+		for seed := range uint64(10) {
+			ring, peers := sharingGraph(c.n, c.zones, seed)
+			links := map[*record]map[*record]bool{}
+			for _, r := range ring {
+				links[r] = map[*record]bool{}
+			}
+			for i, r := range ring {
+				for _, o := range peers[i] {
+					links[r][o], links[o][r] = true, true
+				}
+			}
+			for r, all := range links {
+				if len(all) > softLinkLimit {
+					t.Errorf("n=%d zones=%d seed=%d: %s has %d links", c.n, c.zones, seed, r.id, len(all))
+				}
+			}
+		}
+	}
+}
+
 // viewWithLink returns the view of member 0, with members 1 to n-1 and a link to
 // member 1.
 func viewWithLink(n int) (*View, LinkID) {
