--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,6 +177,27 @@
 	return group.Wait()
 }
 
+// releaseWait is how long callers' connections may wait for the first release of a
+// ReleaseSource. Callers take a VM that reads nothing for a second as lost.
+const releaseWait = 800 * time.Millisecond
+
+// awaitRelease waits for the first release of a ReleaseSource. Until then connections stay
+// in the queue of the listener: a VM that starts needs a fraction of a second, and requests
+// that wait so long can be served, while those that are refused may be lost.
+func (v *VM) awaitRelease(ctx context.Context) {
+	if v.opts.ReleaseSource == nil {
+		return
+	}
+	timer := time.NewTimer(releaseWait)
+	defer timer.Stop()
+	select {
+	case <-v.released:
+	case <-timer.C:
+	case <-v.drain:
+	case <-ctx.Done():
+	}
+}
+
 // Alive returns the number of VMs that this one considers alive, itself included.
 func (v *VM) Alive() int { return len(component[*member.Driver](v).Snapshot().Alive()) }
 
@@ -223,6 +244,7 @@
 	group.Go(func() error { return v.serveOperators(work) })
 	group.Go(func() error {
 		defer stop()
+		v.awaitRelease(work)
 		return v.serveCallers(work)
 	})
 	v.log.Info().Str("entry", v.EntryAddr()).Str("admin", v.AdminAddr()).Str("peer", v.PeerAddr()).
