--- a/limit/budget.go
+++ b/limit/budget.go
@@ -81,6 +81,14 @@
 	return true
 }
 
+// Available reports whether TryWithdraw would succeed now.
+func (b *RetryBudget) Available() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, deposits, withdrawals := b.window()
+	return b.tokens >= 1 && float64(withdrawals+1) <= b.burst+b.ratio*float64(deposits)
+}
+
 // window returns the current slot, which it clears when a window has passed since its last
 // use, and the sums over the window. It needs the lock.
 func (b *RetryBudget) window() (slot *slotCounts, deposits, withdrawals int) {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -6,6 +6,7 @@
 	"math/bits"
 	"slices"
 	"sync/atomic"
+	"time"
 )
 
 // Target is one backend server to choose from, with the state of it that the goroutines of
@@ -17,6 +18,7 @@
 	weight       atomic.Uint64 // Bits of a float64, 0 to 1.
 	inflight     atomic.Int64
 	peerInflight atomic.Uint64 // Bits of a float64: estimated in-flight requests of other VMs.
+	lastBegin    atomic.Int64  // Start of the last attempt of this VM, Unix time in nanoseconds.
 }
 
 // NewTarget returns a target with weight 1.
@@ -44,6 +46,9 @@
 // Begin counts the start of an attempt of this VM.
 func (t *Target) Begin() { t.inflight.Add(1) }
 
+// SetLastBegin sets when the last attempt of this VM began.
+func (t *Target) SetLastBegin(now time.Time) { t.lastBegin.Store(now.UnixNano()) }
+
 // End counts the end of an attempt of this VM.
 func (t *Target) End() { t.inflight.Add(-1) }
 
@@ -163,6 +168,31 @@
 	return p.Pick(tried)
 }
 
+// trialInterval is the time after which a doubtful target that this VM prefers gets a
+// request as a trial. It is below 2 s, within which each sound backend server should get
+// some, as a server that has recovered shows it only by a request.
+const trialInterval = 1800 * time.Millisecond
+
+// PickTrial returns a preferred target with a weight below MinReliableWeight that has had no
+// attempt of this VM for trialInterval, or nil. Other VMs mostly leave it to this one. The
+// request should be one that can be retried and that has time for it.
+func (p *Picker) PickTrial(now time.Time) *Target {
+	s := p.snapshot.Load()
+	if s == nil {
+		return nil
+	}
+	for _, t := range s.preferred {
+		last := t.lastBegin.Load()
+		if t.Weight() >= MinReliableWeight || t.capacity() <= 0 || now.UnixNano()-last < int64(trialInterval) {
+			continue
+		}
+		if t.lastBegin.CompareAndSwap(last, now.UnixNano()) {
+			return t
+		}
+	}
+	return nil
+}
+
 func (p *Picker) pick(f filter) *Target {
 	s := p.snapshot.Load()
 	if s == nil {
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -341,3 +342,40 @@
 		t.Errorf("%d of %d requests went to the preferred target with weight 0.05", preferred, picks)
 	}
 }
+
+// Guards against a doubtful server that gets no request for seconds, so that nobody learns
+// that it has recovered, and against trials that come too often, at servers that are in use,
+// reliable or not preferred, or twice at one time.
+func TestPickTrial(t *testing.T) {
+	p := pick.New("a", seed.For(t, 0))
+	doubtful, reliable, other := pick.NewTarget("1", "a", 3), pick.NewTarget("2", "a", 3), pick.NewTarget("3", "a", 3)
+	doubtful.SetWeight(0.03)
+	other.SetWeight(0.03)
+	p.SetTargets([]*pick.Target{doubtful, reliable, other})
+	p.SetPreferred([]string{"1", "2"})
+	now := time.Unix(1000, 0)
+	var got []string
+	for range 60 {
+		now = now.Add(100 * time.Millisecond)
+		if trial := p.PickTrial(now); trial != nil {
+			got = append(got, trial.Addr())
+		}
+		if again := p.PickTrial(now); again != nil {
+			t.Errorf("%s is tried twice at one time", again.Addr())
+		}
+	}
+	if want := []string{"1", "1", "1", "1"}; !slices.Equal(got, want) {
+		t.Errorf("trials within 6 s: %v, want %v", got, want)
+	}
+	for range 60 {
+		now = now.Add(100 * time.Millisecond)
+		doubtful.SetLastBegin(now)
+		if trial := p.PickTrial(now); trial != nil {
+			t.Errorf("trial at %s, which is in use", trial.Addr())
+		}
+	}
+	doubtful.SetWeight(0)
+	if trial := p.PickTrial(now.Add(time.Minute)); trial != nil {
+		t.Errorf("trial at %s, which gets no requests", trial.Addr())
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -260,6 +260,7 @@
 	d.tried = append(d.tried, v.target)
 	d.launched = append(d.launched, launched{start: time.Now(), weight: v.target.Weight(), cancel: cancel})
 	d.pending++
+	v.target.SetLastBegin(time.Now())
 	v.target.Begin() // Counted here, as the next pick may happen before the goroutine starts.
 	go func() {
 		resp := &response{
@@ -285,6 +286,11 @@
 	if !c.repeatable || len(d.tried) > 0 {
 		pickTarget = c.handler.pickReliable
 	}
+	if t := d.pickTrial(); t != nil {
+		if v := c.handler.serverFor(c.service, t); v != nil && v.limit.Begin() {
+			return v, true
+		}
+	}
 	var first *server
 	excluded := slices.Clip(tried)
 	for range maxPicks {
@@ -308,6 +314,16 @@
 	return first, false
 }
 
+// pickTrial returns a doubtful server that is due for a trial, or nil. Only the first attempt
+// of a call that may be repeated, is not urgent and has a retry to spare is used for it.
+func (d *dispatch) pickTrial() *pick.Target {
+	c := d.call
+	if !c.repeatable || c.class == limit.Urgent || len(d.tried) > 0 || c.route.maxAttempts < 2 || !c.service.budget.Available() {
+		return nil
+	}
+	return c.service.picker.PickTrial(time.Now())
+}
+
 // attempt performs one exchange with the server and reads its response into resp.
 func (d *dispatch) attempt(ctx context.Context, resp *response) error {
 	c := d.call
