--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer resp.Body.Close() //nolint:errcheck // The body is not read.
+	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("status %d of a VM that gets no release", resp.StatusCode)
 	}
