--- a/caller/caller.go
+++ b/caller/caller.go
@@ -115,7 +115,10 @@
 
 func (s *Server) startConn(ctx context.Context, netConn net.Conn) {
 	s.count.accepted.Inc()
-	c := &conn{server: s, net: netConn, lastDone: closedChan, requestSlots: make(chan struct{}, maxPipelinedRequests)}
+	c := &conn{
+		server: s, net: netConn, openedAt: time.Now(), lastDone: closedChan,
+		requestSlots: make(chan struct{}, maxPipelinedRequests),
+	}
 	c.disconnected, c.disconnect = context.WithCancel(context.Background())
 	var cancelRequests context.CancelFunc
 	c.ctx, cancelRequests = context.WithCancel(ctx)
@@ -147,7 +150,7 @@
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
 // Shutdown closes idle connections at once and the others when their requests have
-// ended, and returns nil when no connection is left. It returns the error of ctx when
+// ended or have not come within firstRequestWait, and returns nil when no connection is left. It returns the error of ctx when
 // ctx ends first. The listener must be closed before the call.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.DisableKeepAlives()
@@ -162,7 +165,7 @@
 			return nil
 		}
 		for _, c := range open {
-			c.closeIdle()
+			c.closeIdle(time.Now())
 		}
 		if !sleep.For(ctx, shutdownPollInterval) {
 			return ctx.Err()
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -189,6 +189,36 @@
 	}
 }
 
+// Guards against a planned stop that cuts off a caller who has just connected and whose
+// request is on its way, and against one that waits for connections without a request.
+func TestShutdownServesNewConnections(t *testing.T) {
+	s := startServer(t, testLimits, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	c, r := s.dial(t)
+	_, silent := s.dial(t)
+	for s.open() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(context.Background()) }()
+	time.Sleep(firstRequestWait / 5)
+	write(t, c, getRequest("/"))
+	if status, body, last := readResponse(t, r); status != 200 || body != "whole" || !last {
+		t.Fatalf("got %d %q, last %v", status, body, last)
+	}
+	if _, err := silent.ReadByte(); err != io.EOF {
+		t.Fatalf("connection without a request: %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (s *testServer) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Guards against a truncated response that looks complete to the caller.
 func TestIncompleteResponseAbortsConnection(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -27,12 +27,14 @@
 	limited      *limitedReader
 	reader       *bufio.Reader
 	writer       *bufio.Writer
+	openedAt     time.Time     // When the connection was accepted.
 	lastDone     chan struct{} // Closed when the response to the newest request has been written.
 	requestSlots chan struct{} // Holds an element for each running request.
 
 	mu       sync.Mutex
 	inflight int  // Requests that were read and whose response is not complete.
 	reading  bool // A request is being read.
+	used     bool // The first byte of a request has arrived.
 	closing  bool // No further request is run.
 }
 
@@ -100,7 +102,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
+	c.reading, c.used = true, true
 	return !c.closing
 }
 
@@ -292,11 +294,16 @@
 	c.stopReadingLocked()
 }
 
-// closeIdle ends the connection when no request is running or being read.
-func (c *conn) closeIdle() {
+// firstRequestWait is how long a connection may take until its first request arrives before
+// a shutdown takes it for idle. Callers open a connection when they have a request to send.
+const firstRequestWait = 500 * time.Millisecond
+
+// closeIdle ends the connection when no request is running, being read or about to come.
+func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inflight == 0 && !c.reading && !c.closing {
+	expected := !c.used && now.Sub(c.openedAt) < firstRequestWait
+	if c.inflight == 0 && !c.reading && !c.closing && !expected {
 		c.stopReadingLocked()
 	}
 }
