--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -60,7 +60,7 @@
 }
 
 // Bounds of the history that a Log keeps for other VMs. A VM that lacks more than that
-// gets all objects.
+// reads the platform.
 const (
 	maxHistoryChanges = 4096
 	maxHistoryBytes   = 2 << 20 // Compressed, it fits into one message between VMs.
@@ -208,11 +208,16 @@
 	return changes, max(after, l.known), true
 }
 
-// Reply returns the reply to a pull of another VM: the changes after a revision, or all
-// objects when the history does not reach back to it.
-func (l *Log) Reply(after uint64) *wire.Changes {
+// Reply returns the reply to a pull of another VM: the changes after a revision. When the
+// history does not reach back to it, the reply has all objects if complete is set, and none
+// otherwise: all objects are much to send, and a VM that reaches the platform gets what it
+// lacks there with one call.
+func (l *Log) Reply(after uint64, complete bool) *wire.Changes {
 	changes, upto, ok := l.Since(after)
 	if !ok {
+		if !complete {
+			return &wire.Changes{}
+		}
 		changes, upto = l.all()
 	}
 	packed, err := pack(changes)
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -101,19 +101,22 @@
 	for i := uint64(11); i < 11+2*maxHistoryChanges; i++ {
 		l.Append(i-1, i, []Change{change("a", i)})
 	}
-	reply := l.Reply(10)
+	reply := l.Reply(10, true)
 	changes, err := unpack(reply.GetChanges())
 	if err != nil || !reply.GetComplete() || reply.GetUpto() != l.Known() || len(changes) != 1 {
 		t.Errorf("reply beyond the history: complete %v up to %d with %d changes, %v", reply.GetComplete(), reply.GetUpto(), len(changes), err)
 	}
-	reply = l.Reply(l.Known() - 3)
+	if reply := l.Reply(10, false); reply.GetUpto() != 0 || len(reply.GetChanges()) != 0 {
+		t.Errorf("reply to a VM that reaches the platform: up to %d with %d bytes", reply.GetUpto(), len(reply.GetChanges()))
+	}
+	reply = l.Reply(l.Known()-3, false)
 	if changes, err = unpack(reply.GetChanges()); err != nil || reply.GetComplete() || len(changes) != 3 {
 		t.Errorf("reply within the history: complete %v with %d changes, %v", reply.GetComplete(), len(changes), err)
 	}
 	if l.changes > maxHistoryChanges || l.bytes > maxHistoryBytes {
 		t.Errorf("history of %d changes and %d bytes", l.changes, l.bytes)
 	}
-	if reply := NewLog().Reply(0); reply.GetUpto() != 0 {
+	if reply := NewLog().Reply(0, true); reply.GetUpto() != 0 {
 		t.Errorf("a VM without a listing answers up to %d", reply.GetUpto())
 	}
 }
--- a/internal/fleet/feed/fleet_test.go
+++ b/internal/fleet/feed/fleet_test.go
@@ -109,7 +109,8 @@
 
 type testFleet struct {
 	*testPlatform
-	vms []*testVM
+	vms           []*testVM
+	completePulls atomic.Int64
 }
 
 // startFleet starts VMs in availability zones by turns; each links to degree others, and
@@ -142,7 +143,10 @@
 					if byID[addr].down.Load() {
 						return nil, errTurnedAway
 					}
-					return byID[addr].Reply(pull.GetAfter()), nil
+					if pull.GetComplete() {
+						f.completePulls.Add(1)
+					}
+					return byID[addr].Reply(pull), nil
 				},
 			},
 			List: f.list,
@@ -244,6 +248,9 @@
 			time.Sleep(time.Second / 2)
 		}
 		// Six watchers with a call each 0.8 s, against one of each VM.
+		if n := f.completePulls.Load(); n != 0 {
+			t.Errorf("%d times all objects were asked for", n)
+		}
 		if got, limit := f.calls.Load()-before, int64(6*2*seconds*2); got > limit {
 			t.Errorf("%d calls in %d s for %d VMs, want at most %d", got, seconds, size, limit)
 		}
@@ -293,6 +300,31 @@
 	})
 }
 
+// Pattern: the platform turns a VM away that lacks more than the others remember. Guards
+// against a VM that stays behind until it reaches the platform again.
+func TestPatternTurnedAwayBeyondHistory(t *testing.T) {
+	inFleet(t, 2, 8, 3, func(f *testFleet) {
+		var behind *testVM
+		for _, vm := range f.vms {
+			if !vm.isWatcher.Load() {
+				behind = vm
+			}
+		}
+		behind.down.Store(true) // It hears of nothing.
+		behind.turnedAway.Store(true)
+		revision := uint64(0)
+		for i := range 2 * maxHistoryChanges {
+			revision = f.set(fmt.Sprint("server-", i%10))
+			if i%500 == 0 {
+				time.Sleep(coalesceDelay)
+			}
+		}
+		time.Sleep(inForce)
+		behind.down.Store(false)
+		f.waitUntilKnown(t, revision, 2*inForce) // The first time it tries to read the platform.
+	})
+}
+
 // Guards against a VM that waits for others in vain: when none of those that told of a
 // change can pass it on, it reads the platform itself.
 func TestReadsThePlatformWhenOthersCannotPassChangesOn(t *testing.T) {
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -124,6 +124,9 @@
 	log   *Log
 	other *Follower     // Follows the other kind; both share one history in the platform.
 	news  chan struct{} // Wakes a follower that waits for news of other VMs.
+	// turnedAway is set while calls of this VM to the platform fail. Only the goroutine of
+	// Run uses it.
+	turnedAway bool
 
 	mu           sync.Mutex
 	cancelWatch  context.CancelFunc // Ends the current watch; nil when there is none.
@@ -145,8 +148,8 @@
 func (f *Follower) Newest() uint64 { return f.log.Newest() }
 
 // Reply returns the reply to a pull of another VM.
-func (f *Follower) Reply(after uint64) *wire.Changes {
-	reply := f.log.Reply(after)
+func (f *Follower) Reply(pull *wire.Pull) *wire.Changes {
+	reply := f.log.Reply(pull.GetAfter(), pull.GetComplete())
 	if f.opts.Grace != nil {
 		reply.Grace = uint32(max(0, f.opts.Grace()).Milliseconds())
 	}
@@ -213,8 +216,9 @@
 		case errors.Is(err, errInterrupted):
 			continue
 		case err != nil:
-			u = Update{Err: err}
+			u, f.turnedAway = Update{Err: err}, true
 		default:
+			f.turnedAway = f.turnedAway && u.Relayed
 			// Only the first listing may be stale, as later ones follow a loss of history.
 			listed, allowStale = true, false
 			listing.Reset()
@@ -425,7 +429,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	after := f.log.Known()
-	reply, err := f.opts.Fleet.Pull(ctx, peer.Addr, &wire.Pull{Feed: f.opts.Kind, After: after})
+	reply, err := f.opts.Fleet.Pull(ctx, peer.Addr, &wire.Pull{Feed: f.opts.Kind, After: after, Complete: f.turnedAway})
 	if err != nil {
 		return Update{}, err
 	}
