--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -256,7 +256,7 @@
 		v.server.SetLimits(limits)
 		v.applyRelease(ctx, rel)
 		once.Do(func() {
-			v.releasedAt.Store(time.Now().UnixNano())
+			v.releasedAt.Store(lo.ToPtr(time.Now()))
 			close(v.released)
 		})
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,10 +67,10 @@
 	health      *monitor
 	callerAPI   *callerAPI
 	probes      *probes
-	server      *caller.Server // For callers without TLS.
-	released    chan struct{}  // Closed once the first release of a ReleaseSource has been applied.
-	releasedAt  atomic.Int64   // When released was closed, Unix time in nanoseconds; 0 before.
-	drain       chan struct{}  // Closed when the graceful shutdown starts.
+	server      *caller.Server            // For callers without TLS.
+	released    chan struct{}             // Closed once the first release of a ReleaseSource has been applied.
+	releasedAt  atomic.Pointer[time.Time] // When released was closed; nil before.
+	drain       chan struct{}             // Closed when the graceful shutdown starts.
 	drainOnce   sync.Once
 
 	watcher  atomic.Bool  // This VM watches the platform for changes.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -20,8 +20,8 @@
 
 const (
 	// subsetSize is the number of backend servers up to which a VM uses all servers of a
-	// service. It is above the 20 servers of the largest service of the
-	// first users, so that each of their few VMs uses all servers.
+	// service, and how many it uses of a larger one unless the floor is higher. It is above
+	// the 20 servers of the largest service of the first users.
 	subsetSize = 24
 	// maxAllServers is the number of backend servers up to which a VM uses all servers of a
 	// service with the profile switch. With so few, the VMs of one zone could leave too many
@@ -201,7 +201,7 @@
 		return lo.Map(members, func(m member.Member, _ int) string { return m.ID() })
 	})
 	releasedAt := v.releasedAt.Load()
-	joining := releasedAt == 0 || now.Sub(time.Unix(0, releasedAt)) < linkUpTime
+	joining := releasedAt == nil || now.Sub(*releasedAt) < linkUpTime
 	alone := len(byZone) == 1 && len(byZone[v.settings.Zone]) == 1
 	watchers := feed.Watchers(ids)
 	v.watchers.Store(int64(len(watchers)))
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -18,7 +18,7 @@
 	weight       atomic.Uint64 // Bits of a float64, 0 to 1.
 	inflight     atomic.Int64
 	peerInflight atomic.Uint64 // Bits of a float64: estimated in-flight requests of other VMs.
-	lastBegin    atomic.Int64  // Start of the last attempt of this VM, Unix time in nanoseconds.
+	lastBegin    atomic.Int64  // Start of the last attempt of this VM, in nanoseconds since epoch.
 }
 
 // NewTarget returns a target with weight 1.
@@ -47,7 +47,13 @@
 func (t *Target) Begin() { t.inflight.Add(1) }
 
 // SetLastBegin sets when the last attempt of this VM began.
-func (t *Target) SetLastBegin(now time.Time) { t.lastBegin.Store(now.UnixNano()) }
+func (t *Target) SetLastBegin(now time.Time) { t.lastBegin.Store(sinceEpoch(now)) }
+
+// epoch is the origin of times that are kept as numbers. Differences to it are of the
+// monotonic clock, so that a jump of the time of day does not matter.
+var epoch = time.Now()
+
+func sinceEpoch(now time.Time) int64 { return int64(now.Sub(epoch)) }
 
 // End counts the end of an attempt of this VM.
 func (t *Target) End() { t.inflight.Add(-1) }
@@ -183,10 +189,10 @@
 	}
 	for _, t := range s.preferred {
 		last := t.lastBegin.Load()
-		if t.Weight() >= MinReliableWeight || t.capacity() <= 0 || now.UnixNano()-last < int64(trialInterval) {
+		if t.Weight() >= MinReliableWeight || t.capacity() <= 0 || last != 0 && sinceEpoch(now)-last < int64(trialInterval) {
 			continue
 		}
-		if t.lastBegin.CompareAndSwap(last, now.UnixNano()) {
+		if t.lastBegin.CompareAndSwap(last, sinceEpoch(now)) {
 			return t
 		}
 	}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -353,7 +353,7 @@
 	other.SetWeight(0.03)
 	p.SetTargets([]*pick.Target{doubtful, reliable, other})
 	p.SetPreferred([]string{"1", "2"})
-	now := time.Unix(1000, 0)
+	now := time.Now()
 	var got []string
 	for range 60 {
 		now = now.Add(100 * time.Millisecond)
