--- a/tools/worth/main.go
+++ b/tools/worth/main.go
@@ -16,12 +16,16 @@
 
 // run is a journal entry of one run of the bench.
 type run struct {
-	Command string `json:"cmd"`
-	Site    string `json:"site"`
-	Reason  string `json:"why"`
-	Days    []day  `json:"days"`
+	Command   string   `json:"cmd"`
+	Arguments []string `json:"argv"`
+	Site      string   `json:"site"`
+	Reason    string   `json:"why"`
+	Days      []day    `json:"days"`
 }
 
+// smallFlag marks a score of days at a small size, which has other marks.
+const smallFlag = "--small"
+
 // day is the score of one simulated day.
 type day struct {
 	Name        string             `json:"name"`
@@ -67,7 +71,7 @@
 		if err := json.Unmarshal(data, &r); err != nil {
 			return fmt.Errorf("%s: %w", file, err)
 		}
-		if r.Command != "score" || len(r.Days) == 0 {
+		if r.Command != "score" || len(r.Days) == 0 || slices.Contains(r.Arguments, smallFlag) {
 			continue
 		}
 		if _, known := first[r.Site]; !known {
