--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -1,10 +1,10 @@
 // Package feed keeps the recent changes of one kind of object of the platform, so that a
 // VM can pass them on to others, and decides which VMs of a fleet watch the platform.
 //
-// The platform counts its changes with one revision number. A few VMs watch it; each tells
-// its links the revision of the newest change, and VMs that lack it pull the changes after
-// their own revision from the VM that told them. A chain of such pulls reaches the whole
-// fleet, and no VM holds more of the platform's attention than it needs.
+// The platform numbers its changes with revisions. A few VMs watch it; each tells its links
+// the revision of the newest change, and VMs that lack it pull the changes after their own
+// revision from the VM that told them. A chain of such pulls reaches the whole fleet, and the
+// calls to the platform do not grow with it.
 package feed
 
 import (
