--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -11,18 +11,18 @@
 	"github.com/rs/zerolog"
 )
 
-type buffer struct {
+type output struct {
 	mu sync.Mutex
 	b  bytes.Buffer
 }
 
-func (b *buffer) Write(p []byte) (int, error) {
+func (b *output) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.b.Write(p)
 }
 
-func (b *buffer) String() string {
+func (b *output) String() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.b.String()
@@ -32,7 +32,7 @@
 // whose number isn't logged.
 func TestLineRateIsLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var out buffer
+		var out output
 		log, stop := New(&out, zerolog.InfoLevel)
 		time.Sleep(time.Second - time.Duration(time.Now().Nanosecond())) // To the start of a second.
 		for range 3 * maxLinesPerSecond {
@@ -51,6 +51,25 @@
 	})
 }
 
+// Guards against a line that stays in the buffer until the next one is logged: a process
+// that has nothing else to say would seem to hang.
+func TestEachLineIsWritten(t *testing.T) {
+	for i := range 30_000 {
+		written := make(chan struct{}, 1)
+		log, stop := New(writerFunc(func(p []byte) (int, error) {
+			written <- struct{}{}
+			return len(p), nil
+		}), zerolog.InfoLevel)
+		log.Info().Msg("line")
+		select {
+		case <-written:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("line %d was not written", i)
+		}
+		stop()
+	}
+}
+
 // Guards against log calls that block while the output accepts no data.
 func TestSlowOutputDoesNotBlock(*testing.T) {
 	release := make(chan struct{})
