pool, proxy, entry: read and log the request rates that backend servers state

Routing is unchanged.

A response's rate reaches the control loop. VMs log its changes, and every 2 s the first attempts, retries and hedges at servers that state one; azuredeal_limited_attempts_total counts them.

--- a/board/board.go
+++ b/board/board.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -61,12 +62,27 @@
 	OldestStart time.Time // Start of the oldest attempt; zero when Count is 0.
 }
 
+// Unlimited is the request rate of a backend server that states no limit.
+var Unlimited = math.Inf(1)
+
+// StatedRate is what a response says of the request rate that its backend server accepts
+// from all VMs together.
+type StatedRate struct {
+	Service   string
+	Server    string // Address, "ip:port".
+	Instance  string // Id of the server process; empty when it is not known.
+	PerSecond float64
+	At        time.Time // Arrival of the response.
+}
+
 // Controller is one task of the control loop. Its functions run on the control goroutine, so
 // they need no locks for state that only controllers access.
 type Controller struct {
 	Name string
 	// Sample handles one sample; nil when the controller does not use samples.
 	Sample func(now time.Time, s Sample)
+	// Rate handles one stated rate; nil when the controller does not use them.
+	Rate func(now time.Time, r StatedRate)
 	// Step runs once per tick of 100 ms; nil when the controller has no periodic work.
 	Step func(now time.Time)
 }
@@ -74,6 +90,7 @@
 const (
 	tickInterval = 100 * time.Millisecond
 	sampleBuffer = 8192 // Maximum number of samples that wait for the control loop.
+	rateBuffer   = 1024 // Maximum number of stated rates that wait for the control loop.
 	callBuffer   = 256
 )
 
@@ -81,6 +98,7 @@
 type Board struct {
 	controllers []Controller
 	samples     chan Sample
+	rates       chan StatedRate
 	calls       chan func(now time.Time)
 	stopped     chan struct{} // Closed when Run returns.
 	dropped     atomic.Uint64
@@ -92,6 +110,7 @@
 	return &Board{
 		controllers: controllers,
 		samples:     make(chan Sample, sampleBuffer),
+		rates:       make(chan StatedRate, rateBuffer),
 		calls:       make(chan func(time.Time), callBuffer),
 		stopped:     make(chan struct{}),
 	}
@@ -109,7 +128,19 @@
 	}
 }
 
-// DroppedSamples returns how many samples were dropped because the buffer was full.
+// PostRate is Post for a stated rate. A dropped one counts as a dropped sample.
+func (b *Board) PostRate(r StatedRate) bool {
+	select {
+	case b.rates <- r:
+		return true
+	default:
+		b.dropped.Add(1)
+		return false
+	}
+}
+
+// DroppedSamples returns how many samples and stated rates were dropped because a buffer was
+// full.
 func (b *Board) DroppedSamples() uint64 { return b.dropped.Load() }
 
 // Steps returns how many ticks the control loop has processed.
@@ -158,6 +189,8 @@
 			call(time.Now())
 		case s := <-b.samples:
 			b.drainSamples(time.Now(), s)
+		case r := <-b.rates:
+			b.handleRate(time.Now(), r)
 		case <-ticker.C:
 			b.runSteps(time.Now())
 		}
@@ -181,6 +214,15 @@
 	}
 }
 
+// handleRate passes a stated rate to the controllers.
+func (b *Board) handleRate(now time.Time, r StatedRate) {
+	for _, c := range b.controllers {
+		if c.Rate != nil {
+			c.Rate(now, r)
+		}
+	}
+}
+
 // runSteps runs the steps of all controllers for one tick.
 func (b *Board) runSteps(now time.Time) {
 	for _, c := range b.controllers {
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -54,7 +54,9 @@
 	do.Provide(i, func(do.Injector) (*store.Client, error) {
 		return store.NewHTTP(v.settings.Platform.URL, http.DefaultClient), nil
 	})
-	do.Provide(i, func(do.Injector) (*board.Board, error) { return board.New(v.health.controller()), nil })
+	do.Provide(i, func(do.Injector) (*board.Board, error) {
+		return board.New(v.health.controller(), v.rates.controller()), nil
+	})
 	do.Provide(i, v.newProxy)
 	do.Provide(i, v.newPeer)
 	do.Provide(i, v.newMemberDriver)
@@ -70,6 +72,7 @@
 	proxyHandler := component[*proxy.Handler](v)
 	v.health.inflight, v.health.setWeights = proxyHandler.Inflight, proxyHandler.SetWeights
 	v.health.peerInflight = proxyHandler.SetPeerInflight
+	v.rates.attempts = proxyHandler.LimitedAttempts
 	v.health.sendEvents = func(events []*wire.Event, urgent bool) { component[*member.Driver](v).QueueEvents(events, urgent) }
 	v.callerAPI = v.newCallerAPI()
 	handler := v.callerAPI.handler()
@@ -93,6 +96,7 @@
 		AnonymousBurst:  v.settings.Limits.Burst,
 		BodyReadTimeout: v.settings.Limits.ReadTime.Std(),
 		Sample:          func(s board.Sample) { control.Post(s) },
+		StatedRate:      func(r board.StatedRate) { control.PostRate(r) },
 		Metrics:         component[*metrics.Set](v),
 		Log:             v.log,
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 	listeners   listeners
 	components  do.Injector
 	health      *monitor
+	rates       *rates
 	callerAPI   *callerAPI
 	probes      *probes
 	server      *caller.Server            // For callers without TLS.
@@ -109,6 +110,7 @@
 	}
 	counters := metrics.NewSet()
 	v.health = newMonitor(v.log, counters, v.incarnation)
+	v.rates = newRates(v.log, counters)
 	v.assemble(ctx, counters)
 	return v, nil
 }
--- a/pool/dialect.go
+++ b/pool/dialect.go
@@ -1,7 +1,10 @@
 package pool
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/fault"
@@ -24,6 +27,9 @@
 	// IdempotencyKeyHeader carries the idempotency key of a request. It is empty where
 	// requests have no such key.
 	IdempotencyKeyHeader string
+	// RateLimitHeader is the response header field in which a backend server states how many
+	// requests per second it accepts from all VMs together, as a decimal number.
+	RateLimitHeader string
 	// RefusalOutcome returns the outcome for a response in which the backend server
 	// states that it refused the request before starting it. It reports false for
 	// every other response.
@@ -32,13 +38,17 @@
 
 // Header names of the default dialect.
 const (
-	HeaderDeadline       = "Azuredeal-Deadline" // Milliseconds until the deadline.
+	HeaderDeadline       = "Azuredeal-Deadline"   // Milliseconds until the deadline.
+	HeaderRateLimit      = "Azuredeal-Rate-Limit" // Requests per second that the server accepts.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
 // DefaultDialect returns the dialect with the header names of azuredeal.
 func DefaultDialect() *Dialect {
-	return &Dialect{ID: fault.HeaderRequestID, DeadlineHeader: HeaderDeadline, IdempotencyKeyHeader: HeaderIdempotencyKey, RefusalOutcome: defaultRefusalOutcome}
+	return &Dialect{
+		ID: fault.HeaderRequestID, DeadlineHeader: HeaderDeadline, IdempotencyKeyHeader: HeaderIdempotencyKey,
+		RateLimitHeader: HeaderRateLimit, RefusalOutcome: defaultRefusalOutcome,
+	}
 }
 
 // defaultRefusalOutcome reads the refusal from the HeaderRefused field of a 503 response.
@@ -56,3 +66,45 @@
 	}
 	return 0, false
 }
+
+// statedRate returns the rate that a response states, in requests per second. Without the
+// field it is Unlimited, if the status says that the request was served: refusals and errors
+// may come from a place in the server that does not know of a limit. It reports false for a
+// response that says nothing about the rate.
+func (d *Dialect) statedRate(status int, h http.Header) (perSecond float64, ok bool) {
+	values := h[d.RateLimitHeader]
+	switch {
+	case status == http.StatusMisdirectedRequest: // From another process than the intended one.
+		return 0, false
+	case len(values) == 0:
+		return board.Unlimited, status >= http.StatusOK && status < http.StatusMultipleChoices
+	}
+	return lowestRate(values)
+}
+
+// lowestRate returns the lowest of the rates in the values of a header field, which may
+// occur more than once. It skips values that are not a decimal number of 0 or more, and
+// reports false when there is no other value.
+func lowestRate(values []string) (perSecond float64, ok bool) {
+	perSecond = board.Unlimited
+	for _, value := range values {
+		for text := range strings.SplitSeq(value, ",") {
+			rate, valid := parseRate(strings.TrimSpace(text))
+			if valid {
+				perSecond, ok = min(perSecond, rate), true
+			}
+		}
+	}
+	return perSecond, ok
+}
+
+func parseRate(text string) (float64, bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false // ParseFloat also accepts exponents, hexadecimal numbers and names.
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if math.IsInf(rate, 1) {
+		return board.Unlimited, true // More digits than a float64 can hold.
+	}
+	return rate, err == nil
+}
--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -183,6 +183,7 @@
 	}
 	x.keepConn = !head.Close && x.requestWritten()
 	x.serverConn.recordKeepAlive(head.Header, time.Now())
+	x.reportRate(head)
 	if outcome, ok := x.pool.opts.Dialect.RefusalOutcome(head.StatusCode, head.Header); ok {
 		return nil, x.failRefused(head, outcome)
 	}
@@ -200,6 +201,17 @@
 	return r, nil
 }
 
+// reportRate passes on what the response says of the request rate that the backend server
+// accepts.
+func (x *exchange) reportRate(head *http.Response) {
+	opts := x.pool.opts
+	if rate, ok := opts.Dialect.statedRate(head.StatusCode, head.Header); ok {
+		opts.StatedRate(board.StatedRate{
+			Service: opts.Service, Server: x.pool.addr, Instance: opts.Server, PerSecond: rate, At: time.Now(),
+		})
+	}
+}
+
 // head reads response heads until that of the final response.
 func (x *exchange) head() (*http.Response, error) {
 	for range maxInterimResponses {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -38,6 +38,9 @@
 	// Sample receives the outcome of each exchange, except those that tell nothing
 	// about the backend server. May be nil.
 	Sample func(board.Sample)
+	// StatedRate receives what each response says of the request rate that the backend
+	// server accepts, as soon as its header has arrived. It must not block. May be nil.
+	StatedRate func(board.StatedRate)
 }
 
 // Pool holds the connections to one backend server.
@@ -77,6 +80,9 @@
 	if opts.Sample == nil {
 		opts.Sample = func(board.Sample) {}
 	}
+	if opts.StatedRate == nil {
+		opts.StatedRate = func(board.StatedRate) {}
+	}
 	return &Pool{addr: addr, opts: opts}
 }
 
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -444,3 +444,53 @@
 		}
 	}
 }
+
+// Guards against rate limits that are misread: a field that is repeated, empty, negative, no
+// number or too large, and its absence in a response that does not speak for the server.
+func TestStatedRate(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		values []string
+		want   float64
+		ok     bool
+	}{
+		"integer":             {200, []string{"4"}, 4, true},
+		"decimal":             {200, []string{" 0.25 "}, 0.25, true},
+		"zero":                {200, []string{"0"}, 0, true},
+		"refusal with a rate": {503, []string{"2"}, 2, true},
+		"absent":              {200, nil, board.Unlimited, true},
+		"absent in a refusal": {503, nil, 0, false},
+		"absent in an error":  {500, nil, 0, false},
+		"other process":       {421, []string{"9"}, 0, false},
+		"empty":               {200, []string{""}, 0, false},
+		"negative":            {200, []string{"-1"}, 0, false},
+		"word":                {200, []string{"many"}, 0, false},
+		"not a number":        {200, []string{"NaN"}, 0, false},
+		"infinity":            {200, []string{"Inf"}, 0, false},
+		"exponent":            {200, []string{"1e3"}, 0, false},
+		"hexadecimal":         {200, []string{"0x10"}, 0, false},
+		"two points":          {200, []string{"1.2.3"}, 0, false},
+		"unit":                {200, []string{"5/s"}, 0, false},
+		"huge":                {200, []string{strings.Repeat("9", 400)}, board.Unlimited, true},
+		"repeated":            {200, []string{"7", "3"}, 3, true},
+		"in one field":        {200, []string{"7, 3"}, 3, true},
+		"repeated, one bad":   {200, []string{"x", "6"}, 6, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got []board.StatedRate
+			head := fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Request-Id: %%ID%%\r\nContent-Length: 0\r\n", c.status)
+			for _, value := range c.values {
+				head += HeaderRateLimit + ": " + value + "\r\n"
+			}
+			p := newTestPool(t, Options{
+				Service: "s", Server: "i-1", StatedRate: func(r board.StatedRate) { got = append(got, r) },
+			}, respondWith(head+"\r\n"))
+			_, _ = p.doAndReadAll(context.Background(), newGetRequest("r-1")) // Only the rate matters here.
+			failIf(t, len(got) > 0 != c.ok, "reported rates: %v, want one: %v", got, c.ok)
+			if c.ok {
+				want := board.StatedRate{Service: "s", Server: "10.0.0.1:80", Instance: "i-1", PerSecond: c.want, At: got[0].At}
+				failIf(t, got[0] != want || want.At.IsZero(), "got %+v, want %+v", got[0], want)
+			}
+		})
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -118,7 +118,7 @@
 func (d *dispatch) run() (*response, error) {
 	winner := -1
 	defer func() { d.cancelOthers(winner) }()
-	if !d.launch(false) {
+	if !d.launch(firstAttempt, false) {
 		return nil, d.finalError(fault.New(fault.NoServer, "service %s", d.call.service.note.Name))
 	}
 	var hedgeDue <-chan time.Time // Fires when a hedge is due.
@@ -237,14 +237,14 @@
 	case !d.tryWithdraw():
 		return false
 	}
-	return d.launch(err != nil && kind == fault.Interrupted)
+	return d.launch(retryAttempt, err != nil && kind == fault.Interrupted)
 }
 
 func (d *dispatch) tryWithdraw() bool { return d.call.handler.tryWithdraw(d.call.service.budget) }
 
 // launch starts an attempt at a server that was not tried yet or, with reuse set, at
 // any server when no untried one is available. It reports whether it started one.
-func (d *dispatch) launch(reuse bool) bool {
+func (d *dispatch) launch(kind attemptKind, reuse bool) bool {
 	if len(d.tried)-d.unsent >= d.call.route.maxAttempts || len(d.tried) >= cap(d.results) {
 		return false
 	}
@@ -255,6 +255,10 @@
 	if v == nil {
 		return false
 	}
+	if v.rate.limited() {
+		v.rate.attempts[kind].Add(1)
+		d.call.service.counters.limitedAttempt(kind)
+	}
 	index := len(d.tried)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.tried = append(d.tried, v.target)
@@ -438,7 +442,7 @@
 		timer.Reset(d.latencies.hedgeDelay(time.Until(d.call.deadline)))
 		return
 	}
-	if d.launch(false) {
+	if d.launch(hedgeAttempt, false) {
 		d.call.service.counters.hedges.Inc()
 	}
 }
--- a/proxy/count.go
+++ b/proxy/count.go
@@ -23,6 +23,8 @@
 	duration  *metrics.Histogram                // Request duration from the end of the header, in seconds.
 	faults    []atomic.Pointer[metrics.Counter] // By fault.Kind.
 	outcomes  []atomic.Pointer[metrics.Counter] // By board.Outcome.
+	// limitedAttempts counts the attempts at backend servers that state a rate limit.
+	limitedAttempts [attemptKindCount]atomic.Pointer[metrics.Counter]
 }
 
 func newRequestCounters(set *metrics.Set, service string) *requestCounters {
@@ -47,6 +49,10 @@
 
 func (c *requestCounters) outcome(o board.Outcome) { c.inc(&c.outcomes[o], "attempts", "outcome", o) }
 
+func (c *requestCounters) limitedAttempt(k attemptKind) {
+	c.inc(&c.limitedAttempts[k], "limited_attempts", "attempt", k)
+}
+
 func (c *requestCounters) inc(p *atomic.Pointer[metrics.Counter], name, label string, value fmt.Stringer) {
 	counter := p.Load()
 	if counter == nil {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -64,6 +64,9 @@
 	Subset func(s note.Service, all []*pick.Target) []*pick.Target
 	// Sample receives the outcome of each attempt. It must not block.
 	Sample func(board.Sample)
+	// StatedRate receives the request rates that backend servers state, and Unlimited when
+	// one that has stated a rate no longer does. It must not block.
+	StatedRate func(board.StatedRate)
 	// RunOnce runs a request with an idempotency key at most once. The default runs
 	// every request.
 	RunOnce func(ctx context.Context, c idem.Call, run idem.RunFunc) (*idem.Response, error)
--- /dev/null
+++ b/proxy/rate.go
@@ -0,0 +1,70 @@
+package proxy
+
+import (
+	"math"
+	"sync/atomic"
+
+	"github.com/azuredeal/azuredeal/board"
+)
+
+//go:generate stringer -type=attemptKind -linecomment -output=rate_string.go
+
+// attemptKind tells why an attempt is made.
+type attemptKind uint8
+
+const (
+	firstAttempt     attemptKind = iota // first
+	retryAttempt                        // retry
+	hedgeAttempt                        // hedge
+	attemptKindCount                    // unknown
+)
+
+// rateState is what a VM knows of the request rate that a backend server accepts.
+type rateState struct {
+	stated   atomic.Uint64                   // Bits of the rate last stated, per second; 0 for none.
+	attempts [attemptKindCount]atomic.Uint64 // Since the last call of LimitedAttempts.
+}
+
+// limited reports whether the server stated a rate limit in its last response.
+func (s *rateState) limited() bool { return s.stated.Load() != 0 }
+
+// recordRate passes on what a response says of the rate that its server accepts.
+func (h *Handler) recordRate(s *rateState, r board.StatedRate) {
+	stated := uint64(0)
+	if r.PerSecond != board.Unlimited {
+		stated = math.Float64bits(r.PerSecond)
+	}
+	before := s.stated.Swap(stated)
+	if (stated != 0 || before != 0) && h.opts.StatedRate != nil {
+		h.opts.StatedRate(r)
+	}
+}
+
+// LimitedAttempts counts the attempts of this VM at a backend server that states a rate
+// limit.
+type LimitedAttempts struct {
+	Service, Server        string
+	First, Retries, Hedges uint64
+}
+
+// LimitedAttempts returns the attempts since the last call, by backend server. Servers
+// without attempts are left out.
+func (h *Handler) LimitedAttempts() []LimitedAttempts {
+	st := h.state.Load()
+	if st == nil {
+		return nil
+	}
+	var out []LimitedAttempts
+	for name, s := range st.services {
+		for addr, v := range s.servers {
+			n := LimitedAttempts{
+				Service: name, Server: addr, First: v.rate.attempts[firstAttempt].Swap(0),
+				Retries: v.rate.attempts[retryAttempt].Swap(0), Hedges: v.rate.attempts[hedgeAttempt].Swap(0),
+			}
+			if n.First+n.Retries+n.Hedges > 0 {
+				out = append(out, n)
+			}
+		}
+	}
+	return out
+}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -26,6 +26,7 @@
 	target *pick.Target
 	limit  *limit.Adaptive
 	pool   *pool.Pool
+	rate   *rateState
 }
 
 // endAttempt records the end of an attempt. It reports whether the concurrency limit
@@ -111,12 +112,13 @@
 		v.target.SetWeight(old.target.Weight())
 	}
 	if old != nil && old.note.Conns == n.Conns {
-		v.pool = old.pool
+		v.pool, v.rate = old.pool, old.rate
 		if old.note.Zone == n.Zone && old.note.Slots == n.Slots {
 			v.target = old.target
 		}
 		return v
 	}
+	v.rate = &rateState{}
 	v.pool = pool.New(n.Addr, pool.Options{
 		Service:        name,
 		Conns:          h.connsPerVM(n.Conns),
@@ -126,6 +128,7 @@
 		ConnectTimeout: h.opts.ConnectTimeout,
 		Dial:           h.opts.Dial,
 		Sample:         h.recordSample,
+		StatedRate:     func(r board.StatedRate) { h.recordRate(v.rate, r) },
 	})
 	return v
 }
