quota, limit, pick, proxy: divide the rate that a backend server states among the VMs

Cause: a server states one number for all VMs, in its responses only. No VM read it, and a VM that had would have known neither its part nor what servers state to others.

VMs tell each other what servers stated. Each computes its part by rendezvous hashing over the VMs alive that use the server, and uses the least part due within 1.5 s, so that VMs that learn of a change at different times do not overlap. A VM that sees half of the fleet or less uses an even part for 30 s. Each attempt takes a token, whatever its kind. A server with a token comes before others; the queue admits what the rates keep in flight. Where all servers are at their bounds, a request waits for its turn if that comes within half of its time, and is refused at once otherwise. Statements that no VM has verified for 10 s get trials.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -72,7 +74,8 @@
 	proxyHandler := component[*proxy.Handler](v)
 	v.health.inflight, v.health.setWeights = proxyHandler.Inflight, proxyHandler.SetWeights
 	v.health.peerInflight = proxyHandler.SetPeerInflight
-	v.rates.attempts = proxyHandler.LimitedAttempts
+	v.rates.attempts, v.rates.setRate, v.rates.grant = proxyHandler.LimitedAttempts, proxyHandler.SetRate, proxyHandler.GrantTrial
+	v.rates.tell = func(rates []*wire.Rate, urgent bool) { component[*member.Driver](v).QueueRates(rates, urgent) }
 	v.health.sendEvents = func(events []*wire.Event, urgent bool) { component[*member.Driver](v).QueueEvents(events, urgent) }
 	v.callerAPI = v.newCallerAPI()
 	handler := v.callerAPI.handler()
@@ -186,6 +189,9 @@
 		OnEvents: func(events []*wire.Event) {
 			_ = b.Do(context.Background(), func(now time.Time) { v.health.mergeEvents(now, events) })
 		},
+		OnRates: func(rates []*wire.Rate) {
+			_ = b.Do(context.Background(), func(now time.Time) { v.rates.merge(now, rates) })
+		},
 		FullMeshMaxVMs: v.settings.Peer.FullMeshMaxVMs,
 		OnChange:       v.logMemberChange,
 		OnReplaced:     func() { v.Drain() },
@@ -293,10 +299,35 @@
 	for _, s := range v.release.Services() {
 		handler.SetPreferred(s.Name, v.position.preferredServers(s))
 	}
-	_ = component[*board.Board](v).Do(ctx, func(now time.Time) { v.health.setRelease(now, local) })
+	v.local, v.zones = local, memberIDs(component[*member.Driver](v).Snapshot())
+	setRatedServers := v.setRatedServersLocked()
+	_ = component[*board.Board](v).Do(ctx, func(now time.Time) {
+		v.health.setRelease(now, local)
+		setRatedServers(now)
+	})
 	v.probes.setServices(local.Services())
 }
 
+// updateRateHolders applies changes of the members to the shares of stated rates.
+func (v *VM) updateRateHolders(ctx context.Context) {
+	zones := memberIDs(component[*member.Driver](v).Snapshot())
+	v.releaseMu.Lock()
+	defer v.releaseMu.Unlock()
+	if v.release == nil || maps.EqualFunc(zones, v.zones, slices.Equal) {
+		return
+	}
+	v.zones = zones
+	_ = component[*board.Board](v).Do(ctx, v.setRatedServersLocked())
+}
+
+// setRatedServersLocked returns the function that hands the servers in use, with the VMs
+// among which their rates are divided, to the control loop. releaseMu must be held.
+func (v *VM) setRatedServersLocked() func(now time.Time) {
+	servers := ratedServers(v.release, v.local, v.zones)
+	alive := lo.SumBy(lo.Values(v.zones), func(ids []string) int { return len(ids) })
+	return func(now time.Time) { v.rates.setServers(now, servers, alive) }
+}
+
 func (v *VM) newPublisher(do.Injector) (*deploy.Publisher, error) {
 	p := deploy.NewPublisher(component[*store.Client](v))
 	p.CachedRelease = component[*deploy.Follower](v).Release
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,9 +77,11 @@
 	watcher  atomic.Bool  // This VM watches the platform for changes.
 	watchers atomic.Int64 // Number of VMs that do.
 
-	releaseMu sync.Mutex // Guards release and position, and is held while they are applied.
+	releaseMu sync.Mutex // Guards the fields below, and is held while they are applied.
 	release   *note.Release
+	local     *note.Release // The release with only the backend servers that this VM uses.
 	position  position
+	zones     map[string][]string // Ids of the VMs alive by zone, as last used for stated rates.
 }
 
 // listeners are opened by New, so that the addresses are known before Run even when
@@ -110,7 +112,7 @@
 	}
 	counters := metrics.NewSet()
 	v.health = newMonitor(v.log, counters, v.incarnation)
-	v.rates = newRates(v.log, counters)
+	v.rates = newRates(v.log, counters, settings.Name, v.incarnation)
 	v.assemble(ctx, counters)
 	return v, nil
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -163,6 +163,7 @@
 	for {
 		chosen := deploy.SelectWatchers(v.settings.Zone, v.zoneVMs(), deploy.MaxWatchersPerZone)
 		component[*deploy.Follower](v).SetWatch(slices.Contains(chosen, v.settings.Name))
+		v.updateRateHolders(ctx)
 		if !sleep.For(ctx, watcherCheckInterval) {
 			return ctx.Err()
 		}
@@ -182,6 +183,7 @@
 			next.index, next.count = i, len(zone)
 		}
 		v.setPosition(ctx, next)
+		v.updateRateHolders(ctx)
 		v.updateWatcher(time.Now())
 		if !sleep.For(ctx, positionCheckInterval) {
 			return ctx.Err()
@@ -196,13 +198,10 @@
 // updateWatcher updates whether this VM is one of those that watch the platform for
 // changes.
 func (v *VM) updateWatcher(now time.Time) {
-	byZone := component[*member.Driver](v).Snapshot().AliveByZone()
-	ids := lo.MapValues(byZone, func(members []member.Member, _ string) []string {
-		return lo.Map(members, func(m member.Member, _ int) string { return m.ID() })
-	})
+	ids := memberIDs(component[*member.Driver](v).Snapshot())
 	releasedAt := v.releasedAt.Load()
 	joining := releasedAt == nil || now.Sub(*releasedAt) < linkUpTime
-	alone := len(byZone) == 1 && len(byZone[v.settings.Zone]) == 1
+	alone := len(ids) == 1 && len(ids[v.settings.Zone]) == 1
 	watchers := feed.Watchers(ids)
 	v.watchers.Store(int64(len(watchers)))
 	watcher := slices.Contains(watchers, v.settings.Name) && (!alone || !joining)
--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -61,6 +61,11 @@
 // Limit returns how many requests may be in flight, at least 1.
 func (a *Adaptive) Limit() int { return int(a.limit.load()) }
 
+// Latency returns the moving average of recent latencies, 0 before the first.
+func (a *Adaptive) Latency() time.Duration {
+	return time.Duration(a.recentLatency.load() * float64(time.Second))
+}
+
 // Inflight returns the number of in-flight requests.
 func (a *Adaptive) Inflight() int { return int(a.inflight.Load()) }
 
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -66,6 +66,13 @@
 	q.admitWaiting(time.Now())
 }
 
+// MaxRunning returns how many requests may run concurrently.
+func (q *Queue) MaxRunning() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.maxRunning
+}
+
 // SetMaxWaiting changes how many requests may wait. Requests that already wait are kept.
 func (q *Queue) SetMaxWaiting(maxWaiting int) {
 	q.mu.Lock()
--- a/member/events_test.go
+++ b/member/events_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
 
 	"github.com/azuredeal/azuredeal/wire"
 )
@@ -45,3 +48,42 @@
 		t.Errorf("%d events queued, want %d", got, maxQueuedEvents)
 	}
 }
+
+// Guards against rates that a VM is not told of because its link came up later, or is told
+// of twice, and against an age that does not grow while a rate waits.
+func TestRatesReachAllLinks(t *testing.T) {
+	v, id := viewWithLink(3)
+	v.QueueRates(testStart, []*wire.Rate{{Server: 7, Limit: 2, Age: 100}, {Server: 9, Unlimited: true}})
+	later := testStart.Add(300 * time.Millisecond)
+	v.QueueRates(later, []*wire.Rate{{Server: 9, Limit: 5}})
+	got := v.BuildHeartbeat(later, id, News{}).GetRates()
+	want := []*wire.Rate{{Server: 7, Limit: 2, Age: 400}, {Server: 9, Limit: 5}}
+	if len(got) != 2 || !proto.Equal(got[0], want[0]) || !proto.Equal(got[1], want[1]) {
+		t.Errorf("rates %v, want %v", got, want)
+	}
+	if again := v.BuildHeartbeat(later, id, News{}).GetRates(); len(again) != 0 {
+		t.Errorf("sent again: %v", again)
+	}
+	remote := NewMember("vm-new", 99, "z", "10.0.0.99:1", "10.0.0.99:2")
+	newLink := v.LinkUp(later, remote.wire(), "")
+	if got := v.BuildHeartbeat(later, newLink, News{}).GetRates(); len(got) != 2 {
+		t.Errorf("rates %v on a new link, want both", got)
+	}
+	muchLater := testStart.Add(2 * maxRateAge)
+	remote = NewMember("vm-newer", 100, "z", "10.0.0.98:1", "10.0.0.98:2")
+	newest := v.LinkUp(muchLater, remote.wire(), "")
+	if got := v.BuildHeartbeat(muchLater, newest, News{}).GetRates(); len(got) != 0 {
+		t.Errorf("old rates %v on a new link", got)
+	}
+}
+
+// Guards against memory that grows with the number of servers that state rates.
+func TestRatesAreBounded(t *testing.T) {
+	v, id := viewWithLink(3)
+	for n := range uint64(2 * maxRates) {
+		v.QueueRates(testStart, []*wire.Rate{{Server: n, Limit: 1}})
+	}
+	if got := len(v.BuildHeartbeat(testStart, id, News{}).GetRates()); got != maxRates {
+		t.Errorf("%d rates queued, want %d", got, maxRates)
+	}
+}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -66,6 +66,7 @@
 		h.Events = append(h.Events, l.events[server])
 	}
 	clear(l.events)
+	h.Rates = v.queuedRates(now, l)
 	return h
 }
 
--- a/member/link.go
+++ b/member/link.go
@@ -55,6 +55,7 @@
 	news                  News // The newest changes that either side has told the other of.
 	reports               reportQueue
 	events                map[uint32]*wire.Event // By backend server.
+	rates                 map[uint64]bool        // Backend servers whose stated rates are queued.
 }
 
 // pendingRecord is a record in the send queue of a link.
@@ -139,6 +140,7 @@
 	l := &link{
 		id: v.lastLinkID, remote: m.id, incarnation: m.incarnation, dialed: dialed,
 		upSince: now, lastReceivedAt: now, nextHeartbeat: now, pendingByRecord: map[*record]*pendingRecord{},
+		rates: v.ratesOfNewLink(now),
 	}
 	v.links = append(v.links, l)
 	v.merge(now, l, m)
--- a/member/service.go
+++ b/member/service.go
@@ -51,6 +51,8 @@
 	OnReports func(reports []*wire.Report)
 	// OnEvents receives the events of a linked VM.
 	OnEvents func(events []*wire.Event)
+	// OnRates receives the request rates that backend servers stated to a linked VM.
+	OnRates func(rates []*wire.Rate)
 	// OnNewerGeneration is called for each heartbeat of a peer whose release has a
 	// higher generation than Generation returns.
 	OnNewerGeneration func(peer *wire.Member, generation uint64)
@@ -189,6 +191,23 @@
 	}
 }
 
+// QueueRates sends request rates that backend servers stated to this VM to all linked VMs
+// with the next heartbeat, or immediately if they are urgent.
+func (d *Driver) QueueRates(rates []*wire.Rate, urgent bool) {
+	d.mu.Lock()
+	d.view.QueueRates(time.Now(), rates)
+	if urgent {
+		d.view.RatesNow(time.Now())
+	}
+	d.mu.Unlock()
+	if urgent {
+		select {
+		case d.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // SetSeedAddrs replaces the seed addresses.
 func (d *Driver) SetSeedAddrs(addrs []string) {
 	d.mu.Lock()
@@ -239,6 +258,9 @@
 	if len(h.GetEvents()) > 0 && d.opts.OnEvents != nil {
 		d.opts.OnEvents(h.GetEvents())
 	}
+	if len(h.GetRates()) > 0 && d.opts.OnRates != nil {
+		d.opts.OnRates(h.GetRates())
+	}
 	if ok && d.opts.OnNewerRoster != nil && h.GetRoster() > d.opts.Roster() {
 		d.opts.OnNewerRoster(l.Remote(), h.GetRoster())
 	}
--- a/member/view.go
+++ b/member/view.go
@@ -110,6 +110,7 @@
 	seeds       []string
 	discovered  []discoveredVM
 	reports     reportTable
+	rates       map[uint64]rateEntry // By backend server.
 	rng         *rand.Rand
 
 	fullMeshMaxVMs int  // Number of members up to which all are chosen as peers.
@@ -143,6 +144,7 @@
 		ring:        []*record{r},
 		tombstones:  map[string]tombstone{},
 		dialTargets: map[string]*dialTarget{},
+		rates:       map[uint64]rateEntry{},
 		seeds:       slices.Clone(seeds),
 		rng:         rand.New(rand.NewPCG(seed, r.hash)),
 		lastCall:    now,
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"github.com/azuredeal/azuredeal/limit"
 )
 
 // Target is one backend server to choose from, with the state of it that the goroutines of
@@ -19,11 +21,12 @@
 	inflight     atomic.Int64
 	peerInflight atomic.Uint64 // Bits of a float64: estimated in-flight requests of other VMs.
 	lastBegin    atomic.Int64  // Start of the last attempt of this VM, in nanoseconds since epoch.
+	rate         *limit.Rate   // Of the attempts of this VM.
 }
 
 // NewTarget returns a target with weight 1.
 func NewTarget(addr, zone string, slots int) *Target {
-	t := &Target{addr: addr, zone: zone, slots: slots}
+	t := &Target{addr: addr, zone: zone, slots: slots, rate: &limit.Rate{}}
 	t.SetWeight(1)
 	return t
 }
@@ -43,6 +46,13 @@
 // SetWeight sets the fraction of its regular share of requests that the target may get, 0 to 1.
 func (t *Target) SetWeight(w float64) { t.weight.Store(math.Float64bits(w)) }
 
+// Rate returns the bound on the rate of attempts of this VM. A target at its bound is not
+// picked.
+func (t *Target) Rate() *limit.Rate { return t.rate }
+
+// ShareRate makes t use the bound of another target, which stands for the same process.
+func (t *Target) ShareRate(other *Target) { t.rate = other.rate }
+
 // Begin counts the start of an attempt of this VM.
 func (t *Target) Begin() { t.inflight.Add(1) }
 
@@ -189,7 +199,7 @@
 	}
 	for _, t := range s.preferred {
 		last := t.lastBegin.Load()
-		if t.Weight() >= MinReliableWeight || t.capacity() <= 0 || last != 0 && sinceEpoch(now)-last < int64(trialInterval) {
+		if t.Weight() >= MinReliableWeight || t.capacity() <= 0 || !t.rate.Ready() || last != 0 && sinceEpoch(now)-last < int64(trialInterval) {
 			continue
 		}
 		if t.lastBegin.CompareAndSwap(last, sinceEpoch(now)) {
@@ -199,12 +209,33 @@
 	return nil
 }
 
+// RateWait returns the time until a target that only the bound of its rate excludes may be
+// picked. It reports false when there is no such target.
+func (p *Picker) RateWait() (wait time.Duration, ok bool) {
+	s := p.snapshot.Load()
+	if s == nil {
+		return 0, false
+	}
+	for _, t := range s.all {
+		if t.capacity() <= 0 || !t.rate.Limited() {
+			continue
+		}
+		if w := t.rate.Wait(); !ok || w < wait {
+			wait, ok = w, true
+		}
+	}
+	return wait, ok
+}
+
 func (p *Picker) pick(f filter) *Target {
 	s := p.snapshot.Load()
 	if s == nil {
 		return nil
 	}
 	r := sequence(mix(p.seed ^ mix(p.picks.Add(1))))
+	if t := s.limitedWithRate(&r, f); t != nil {
+		return t
+	}
 	if len(s.preferred) > 0 && r.float() >= unpreferredShare {
 		if t := s.preferredWithCapacity(&r, f); t != nil {
 			return t
@@ -222,6 +253,20 @@
 	return p.lessLoaded(a, b)
 }
 
+// limitedWithRate returns a target with a bounded rate that may get a request now, or nil. It
+// comes before all others: this VM alone may use that part of the rate, which is lost when it
+// stays unused, while the servers without a bound take over what the others no longer get.
+func (s *snapshot) limitedWithRate(r *sequence, f filter) *Target {
+	start := r.intn(max(1, len(s.all)))
+	for i := range s.all {
+		t := s.all[(start+i)%len(s.all)]
+		if t.rate.Limited() && f.allows(t) && r.float() < t.Weight() {
+			return t
+		}
+	}
+	return nil
+}
+
 // preferredWithCapacity returns the less loaded of two preferred targets, or nil when it
 // has no capacity for one more request. A target with a reduced weight is drawn by its
 // weight alone and not compared with a second one: it is idle because it gets few requests,
@@ -331,9 +376,10 @@
 	minWeight float64 // Lowest weight allowed.
 }
 
-// allows reports whether a draw may return t. A target with weight 0 is never allowed.
+// allows reports whether a draw may return t. A target with weight 0 or at the bound of its
+// rate is never allowed.
 func (f filter) allows(t *Target) bool {
-	return t != f.exclude && t.capacity() > 0 && t.Weight() >= f.minWeight && !slices.Contains(f.tried, t)
+	return t != f.exclude && t.capacity() > 0 && t.Weight() >= f.minWeight && t.rate.Ready() && !slices.Contains(f.tried, t)
 }
 
 // sequence is a SplitMix64 random number generator. Each pick has its own, which avoids
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -379,3 +379,45 @@
 		t.Errorf("trial at %s, which gets no requests", trial.Addr())
 	}
 }
+
+// Guards against picks beyond the bound on the rate of a target, by any kind of pick, and
+// against a rate that stays unused while targets without a bound are picked.
+func TestPickKeepsToRates(t *testing.T) {
+	list := targets(4, 1, 0)
+	p := pick.New("z0", testSeed)
+	p.SetTargets(list)
+	p.SetPreferred([]string{list[0].Addr()})
+	now := time.Now()
+	for _, bounded := range list[:2] {
+		bounded.Rate().Set(now, 1e-9)
+	}
+	for range 200 {
+		for name, got := range map[string]*pick.Target{"any": p.Pick(nil), "reliable": p.PickReliable(nil)} {
+			if got != list[2] && got != list[3] {
+				t.Fatalf("pick of %s target: %v is at its bound", name, got.Addr())
+			}
+		}
+	}
+	list[0].SetWeight(0.1)
+	if got := p.PickTrial(now); got != nil {
+		t.Errorf("trial of %s, which is at its bound", got.Addr())
+	}
+	list[0].SetWeight(1)
+	list[1].Rate().Return()
+	if got := p.Pick(nil); got != list[1] {
+		t.Errorf("picked %s before the target with an unused rate", got.Addr())
+	}
+	if got := p.Pick(list[1:2]); got == list[1] {
+		t.Error("picked a target that was tried")
+	}
+	for _, other := range list[2:] {
+		other.SetWeight(0)
+	}
+	list[1].Rate().Take()
+	if got := p.PickReliable(nil); got != nil {
+		t.Errorf("picked %s with all targets at their bounds", got.Addr())
+	}
+	if wait, limited := p.RateWait(); !limited || wait < time.Hour {
+		t.Errorf("wait of %v, want one of years", wait)
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -15,12 +15,16 @@
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/pick"
 	"github.com/azuredeal/azuredeal/pool"
+	"github.com/azuredeal/azuredeal/sleep"
 )
 
 const (
 	defaultMaxAttempts = 4 // Per request, hedges included, unless the route sets a limit.
 	maxUnsentAttempts  = 4 // Extra attempts per request for those that reached no server.
 	maxPicks           = 4 // Picks per attempt when servers are at their concurrency limits.
+
+	// minRateWait bounds how often calls look for their turn while others take it first.
+	minRateWait = 5 * time.Millisecond
 )
 
 // execute waits for admission by the queue and dispatches the call. The response
@@ -118,7 +122,7 @@
 func (d *dispatch) run() (*response, error) {
 	winner := -1
 	defer func() { d.cancelOthers(winner) }()
-	if !d.launch(firstAttempt, false) {
+	if !d.launchFirst() {
 		return nil, d.finalError(fault.New(fault.NoServer, "service %s", d.call.service.note.Name))
 	}
 	var hedgeDue <-chan time.Time // Fires when a hedge is due.
@@ -152,6 +156,23 @@
 	}
 }
 
+// maxRateWaitShare is the part of the time until the deadline that a call may wait for its
+// turn when all servers are at the bounds of their rates. The rest is for the exchange.
+const maxRateWaitShare = 0.5
+
+// launchFirst starts the first attempt. When all servers are at the bounds of their rates, it
+// waits for the next one that may get a request, unless that comes too late.
+func (d *dispatch) launchFirst() bool {
+	latest := time.Now().Add(time.Duration(maxRateWaitShare * float64(time.Until(d.call.deadline))))
+	for !d.launch(firstAttempt, false) {
+		wait, limited := d.call.service.picker.RateWait()
+		if !limited || wait > time.Until(latest) || !sleep.For(d.ctx, max(wait, minRateWait)) {
+			return false
+		}
+	}
+	return true
+}
+
 // handleResult processes the end of an attempt: it returns the response or the error
 // of the call, or starts a retry. The bool reports whether the call is done.
 func (d *dispatch) handleResult(r result) (*response, error, bool) {
@@ -255,7 +276,7 @@
 	if v == nil {
 		return false
 	}
-	if v.rate.limited() {
+	if v.rate.bound.Limited() {
 		v.rate.attempts[kind].Add(1)
 		d.call.service.counters.limitedAttempt(kind)
 	}
@@ -291,7 +312,7 @@
 		pickTarget = c.handler.pickReliable
 	}
 	if t := d.pickTrial(); t != nil {
-		if v := c.handler.serverFor(c.service, t); v != nil && v.limit.Begin() {
+		if v := c.handler.serverFor(c.service, t); v != nil && v.begin() {
 			return v, true
 		}
 	}
@@ -303,7 +324,7 @@
 			break
 		}
 		if v := c.handler.serverFor(c.service, t); v != nil {
-			if v.limit.Begin() {
+			if v.begin() {
 				return v, true
 			}
 			if first == nil {
@@ -312,7 +333,7 @@
 		}
 		excluded = append(excluded, t)
 	}
-	if len(d.tried) > 0 {
+	if len(d.tried) > 0 || first == nil || !first.target.Rate().Take() {
 		return nil, false
 	}
 	return first, false
--- a/proxy/dump.go
+++ b/proxy/dump.go
@@ -21,11 +21,13 @@
 	Weight    float64 `json:"weight"`
 	Used      bool    `json:"used"` // In this VM's subset and not leaving.
 	Leaving   bool    `json:"leaving"`
-	Inflight  int     `json:"inflight"` // Exchanges in flight.
-	Limit     int     `json:"limit"`    // Concurrency limit for attempts in flight.
-	Waiting   int64   `json:"waiting"`  // Age of the oldest exchange in flight, in milliseconds.
-	OpenConns int     `json:"open"`     // Open connections.
-	IdleConns int     `json:"idle"`     // Idle connections.
+	Inflight  int     `json:"inflight"`       // Exchanges in flight.
+	Limit     int     `json:"limit"`          // Concurrency limit for attempts in flight.
+	Rate      float64 `json:"rate,omitempty"` // Bound on the attempts of this VM per second.
+	Limited   bool    `json:"limited"`        // There is such a bound.
+	Waiting   int64   `json:"waiting"`        // Age of the oldest exchange in flight, in milliseconds.
+	OpenConns int     `json:"open"`           // Open connections.
+	IdleConns int     `json:"idle"`           // Idle connections.
 }
 
 // Dump returns the traffic state of all services, sorted by name.
@@ -55,6 +57,9 @@
 			Addr: n.Addr, Zone: n.Zone, Leaving: n.Leaving, Weight: v.target.Weight(),
 			Used: slices.Contains(used, v.target), Inflight: stats.Count, Limit: v.limit.Limit(),
 		}
+		if rate := v.target.Rate(); rate.Limited() {
+			d.Limited, d.Rate = true, rate.PerSecond()
+		}
 		if !stats.OldestStart.IsZero() {
 			d.Waiting = now.Sub(stats.OldestStart).Milliseconds()
 		}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -79,7 +79,7 @@
 // Handler is the HTTP handler for the requests of callers.
 type Handler struct {
 	opts         Options
-	mu           sync.Mutex // Serializes SetRelease, SetWeights, SetPreferred and Close.
+	mu           sync.Mutex // Serializes SetRelease, SetWeights, SetRate, SetPreferred and Close.
 	state        atomic.Pointer[state]
 	tokenBuckets *limit.TokenBuckets
 	counters     *requestCounters // For requests that match no service.
@@ -223,6 +223,31 @@
 	}
 }
 
+// SetRate sets the bound on the rate of attempts of this VM, per second, at a backend server
+// of a service. board.Unlimited removes it.
+func (h *Handler) SetRate(name, addr string, perSecond float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	st := h.state.Load()
+	if st == nil || st.services[name] == nil {
+		return
+	}
+	s := st.services[name]
+	if v := s.servers[addr]; v != nil {
+		v.target.Rate().Set(time.Now(), perSecond)
+		s.updateMaxRunning()
+	}
+}
+
+// GrantTrial allows one attempt at a backend server beyond the bound on its rate.
+func (h *Handler) GrantTrial(name, addr string) {
+	if st := h.state.Load(); st != nil && st.services[name] != nil {
+		if v := st.services[name].servers[addr]; v != nil {
+			v.target.Rate().Grant(time.Now())
+		}
+	}
+}
+
 // Inflight returns the exchanges in flight for each backend server that has any.
 func (h *Handler) Inflight() []board.InflightStats {
 	st := h.state.Load()
--- a/proxy/rate.go
+++ b/proxy/rate.go
@@ -1,10 +1,10 @@
 package proxy
 
 import (
-	"math"
 	"sync/atomic"
 
 	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/limit"
 )
 
 //go:generate stringer -type=attemptKind -linecomment -output=rate_string.go
@@ -21,21 +21,14 @@
 
 // rateState is what a VM knows of the request rate that a backend server accepts.
 type rateState struct {
-	stated   atomic.Uint64                   // Bits of the rate last stated, per second; 0 for none.
+	bound    *limit.Rate                     // On the attempts of this VM.
 	attempts [attemptKindCount]atomic.Uint64 // Since the last call of LimitedAttempts.
 }
 
-// limited reports whether the server stated a rate limit in its last response.
-func (s *rateState) limited() bool { return s.stated.Load() != 0 }
-
-// recordRate passes on what a response says of the rate that its server accepts.
+// recordRate passes on what a response says of the rate that its server accepts. It says
+// nothing new when it states no limit and none is known.
 func (h *Handler) recordRate(s *rateState, r board.StatedRate) {
-	stated := uint64(0)
-	if r.PerSecond != board.Unlimited {
-		stated = math.Float64bits(r.PerSecond)
-	}
-	before := s.stated.Swap(stated)
-	if (stated != 0 || before != 0) && h.opts.StatedRate != nil {
+	if (r.PerSecond != board.Unlimited || s.bound.Limited()) && h.opts.StatedRate != nil {
 		h.opts.StatedRate(r)
 	}
 }
@@ -44,6 +37,7 @@
 // limit.
 type LimitedAttempts struct {
 	Service, Server        string
+	Share                  float64 // Bound on the attempts of this VM per second.
 	First, Retries, Hedges uint64
 }
 
@@ -58,7 +52,7 @@
 	for name, s := range st.services {
 		for addr, v := range s.servers {
 			n := LimitedAttempts{
-				Service: name, Server: addr, First: v.rate.attempts[firstAttempt].Swap(0),
+				Service: name, Server: addr, Share: v.rate.bound.PerSecond(), First: v.rate.attempts[firstAttempt].Swap(0),
 				Retries: v.rate.attempts[retryAttempt].Swap(0), Hedges: v.rate.attempts[hedgeAttempt].Swap(0),
 			}
 			if n.First+n.Retries+n.Hedges > 0 {
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"reflect"
 	"time"
 
@@ -29,6 +30,19 @@
 	rate   *rateState
 }
 
+// begin reports whether an attempt may start within the concurrency limit and the rate of the
+// server, and counts it if so.
+func (v *server) begin() bool {
+	if !v.target.Rate().Take() {
+		return false
+	}
+	if v.limit.Begin() {
+		return true
+	}
+	v.target.Rate().Return()
+	return false
+}
+
 // endAttempt records the end of an attempt. It reports whether the concurrency limit
 // of the server changed.
 func (v *server) endAttempt(counted bool, took time.Duration, outcome board.Outcome) bool {
@@ -103,6 +117,7 @@
 		old = nil // Another process now uses the address.
 	}
 	v := &server{note: n, target: pick.NewTarget(n.Addr, n.Zone, n.Slots)}
+	v.rate = &rateState{bound: v.target.Rate()}
 	if old != nil && old.note.Slots == n.Slots {
 		v.limit = old.limit
 	} else {
@@ -110,15 +125,16 @@
 	}
 	if old != nil {
 		v.target.SetWeight(old.target.Weight())
+		v.target.ShareRate(old.target)
+		v.rate = old.rate
 	}
 	if old != nil && old.note.Conns == n.Conns {
-		v.pool, v.rate = old.pool, old.rate
+		v.pool = old.pool
 		if old.note.Zone == n.Zone && old.note.Slots == n.Slots {
 			v.target = old.target
 		}
 		return v
 	}
-	v.rate = &rateState{}
 	v.pool = pool.New(n.Addr, pool.Options{
 		Service:        name,
 		Conns:          h.connsPerVM(n.Conns),
@@ -150,16 +166,23 @@
 }
 
 // updateMaxRunning sets the number of requests that the queue admits at once to the
-// sum of the concurrency limits of the usable servers, but at least 1.
+// sum of the concurrency limits of the usable servers, but at least 1. A server with a bound
+// on its rate counts for the requests that this rate keeps in flight, by Little's law.
 func (s *service) updateMaxRunning() {
-	maxRunning := 0
+	maxRunning := 0.0
 	for _, t := range s.picker.Targets() {
 		// The picker may already follow a newer release than s.
-		if v := s.servers[t.Addr()]; v != nil && t.Weight() > 0 {
-			maxRunning += v.limit.Limit()
+		v := s.servers[t.Addr()]
+		if v == nil || t.Weight() <= 0 {
+			continue
+		}
+		concurrency := float64(v.limit.Limit())
+		if t.Rate().Limited() {
+			concurrency = min(concurrency, t.Rate().PerSecond()*v.limit.Latency().Seconds())
 		}
+		maxRunning += concurrency
 	}
-	s.queue.SetMaxRunning(max(1, maxRunning))
+	s.queue.SetMaxRunning(max(1, int(math.Ceil(maxRunning))))
 }
 
 // closeUnusedPools closes the connection pools that next does not use; all of them
