limit, proxy, entry: the fleet's retry budget is not taken anew by VMs that see few others

Cause, found as the same class as the rate limits: the platform's slack of retries belongs to all VMs, and each applied its part alone. Three ways to more than the part: each change of the number of VMs replaced the budget by a full one; a VM that is cut off divided by the VMs that it still saw; one that had just started counted as one of 16, also in a fleet of 178.

The budget is changed in place, the size is the largest one of the last 30 s, and a VM that has not met the others has one retry.

--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -95,7 +95,7 @@
 	settings.Peer.Secret = secret
 	var vm *entry.VM
 	releaseSource := platform.NewReleaseSource(client, settings.Platform, feed.Fleet{
-		Size:     func() int { return vm.Alive() },
+		Size:     func() int { return vm.FleetSize() },
 		Watchers: func() int { return vm.Watchers() },
 		Watches:  func() bool { return vm.WatchesPlatform() },
 		Pull: func(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -84,7 +84,7 @@
 	}
 	v.server = caller.New(handler, v.callerLimits(), counters)
 	v.registerGauges(counters)
-	v.probes = newProbes(ctx, newProber(v.Alive, func(service, server string, ok bool, took time.Duration) {
+	v.probes = newProbes(ctx, newProber(v.FleetSize, func(service, server string, ok bool, took time.Duration) {
 		_ = component[*board.Board](v).Do(ctx, func(now time.Time) { v.health.observeProbe(now, service, server, ok, took) })
 	}))
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/internal/fleet/feed"
+	"github.com/azuredeal/azuredeal/internal/fleet/quota"
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/peer"
@@ -77,6 +78,9 @@
 	watcher  atomic.Bool  // This VM watches the platform for changes.
 	watchers atomic.Int64 // Number of VMs that do.
 
+	sizeMu sync.Mutex
+	size   quota.FleetSize
+
 	releaseMu sync.Mutex // Guards the fields below, and is held while they are applied.
 	release   *note.Release
 	local     *note.Release // The release with only the backend servers that this VM uses.
@@ -205,6 +209,20 @@
 // Alive returns the number of VMs that this one considers alive, itself included.
 func (v *VM) Alive() int { return len(component[*member.Driver](v).Snapshot().Alive()) }
 
+// FleetSize returns the number of VMs that anything that belongs to all of them is divided by:
+// the largest number alive of the last 30 s, and 0 as long as this VM has not met the others.
+func (v *VM) FleetSize() int {
+	now := time.Now()
+	releasedAt := v.releasedAt.Load()
+	alive := v.Alive()
+	if alive <= 1 && (releasedAt == nil || now.Sub(*releasedAt) < linkUpTime) {
+		return 0
+	}
+	v.sizeMu.Lock()
+	defer v.sizeMu.Unlock()
+	return v.size.Observe(now, alive)
+}
+
 // WatchesPlatform reports whether this VM is one of those that watch the platform for
 // changes; the others take changes over from them.
 func (v *VM) WatchesPlatform() bool { return v.watcher.Load() }
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -28,9 +28,6 @@
 	// within a second of a change, and a suspicion may come a second later to one than to
 	// another.
 	handoverDelay = 1500 * time.Millisecond
-	// memoryOfFleet is how long a VM remembers the size of the fleet. One that sees no more
-	// than half of that may be cut off, and uses no more than an even share meanwhile.
-	memoryOfFleet = 30 * time.Second
 	// staleAge is the age from which a statement is verified by trials.
 	staleAge = 10 * time.Second
 	// trialInterval is the mean interval between the trials that all VMs together send to a
@@ -132,9 +129,8 @@
 	random     *rand.Rand
 	statements map[Key]*statement
 	servers    map[Key]*server
-	fleet      int       // Number of VMs alive.
-	fleetPeak  int       // Largest number of the last memoryOfFleet.
-	peakAt     time.Time // When fleetPeak was last seen.
+	alive      int // Number of VMs.
+	size       FleetSize
 }
 
 // New returns a table for the VM with the given id. The seed determines the times of trials
@@ -160,10 +156,8 @@
 		next[s.Key] = state
 	}
 	t.servers = next
-	t.fleet = alive
-	if alive >= t.fleetPeak || now.Sub(t.peakAt) > memoryOfFleet {
-		t.fleetPeak, t.peakAt = alive, now
-	}
+	t.alive = alive
+	t.size.Observe(now, alive)
 	t.dropUnused(now)
 }
 
@@ -273,18 +267,12 @@
 	if before >= n || !slices.Contains(s.Holders, t.self) {
 		return 0
 	}
-	if t.mayBeCutOff(now) {
-		n = max(n, t.fleetPeak)
+	if size := t.size.Observe(now, t.alive); 2*t.alive <= size {
+		n = max(n, size) // This VM may be cut off.
 	}
 	return rate / float64(n)
 }
 
-// mayBeCutOff reports whether this VM sees no more than half of the VMs that it saw a short
-// time ago.
-func (t *Table) mayBeCutOff(now time.Time) bool {
-	return 2*t.fleet <= t.fleetPeak && now.Sub(t.peakAt) <= memoryOfFleet
-}
-
 // rank orders the VMs for a server by rendezvous hashing.
 func rank(vm string, key Key) uint64 {
 	h := fnv.New64a()
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -51,6 +51,20 @@
 	return b
 }
 
+// Configure changes the ratio, the burst and the refill of NewRetryBudget. What was withdrawn
+// still counts: otherwise each change would bring another burst.
+func (b *RetryBudget) Configure(ratio float64, burst int, refill time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next := NewRetryBudget(ratio, burst, refill)
+	if next.slot == b.slot {
+		next.slots = b.slots
+	}
+	next.tokens, next.refilledAt = b.tokens, b.refilledAt
+	b.ratio, b.burst, b.slot, b.refill = next.ratio, next.burst, next.slot, next.refill
+	b.slots, b.tokens, b.refilledAt = next.slots, next.tokens, next.refilledAt
+}
+
 // Deposit counts a request of a caller, which raises the number of allowed retries by the
 // ratio.
 func (b *RetryBudget) Deposit() {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -265,3 +265,24 @@
 		})
 	}
 }
+
+// Guards against a burst of retries that comes back with each change of the budget, such as
+// one of the number of VMs that it is divided by.
+func TestRetryBudgetKeepsCountsWhenConfigured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := limit.NewRetryBudget(0, 3, 10*time.Second)
+		total := 0
+		for range 100 {
+			for _, burst := range []int{4, 3} {
+				b.Configure(0, burst, 10*time.Second)
+				for b.TryWithdraw() {
+					total++
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if total > 4 {
+			t.Errorf("%d retries in 2 s, want 4 at most", total)
+		}
+	})
+}
--- a/proxy/queue_test.go
+++ b/proxy/queue_test.go
@@ -25,3 +25,20 @@
 		t.Errorf("%d requests running after the change, want 1", n)
 	}
 }
+
+// Guards against a retry budget that starts anew with each release that divides it by another
+// number of VMs: rolling restarts would bring a burst of retries each time.
+func TestRetryBudgetSurvivesReleases(t *testing.T) {
+	h := New(Options{})
+	retries := 0
+	for generation := range 50 {
+		limits := note.Limits{RetryRatio: 0.2, RetryBurst: 3 + generation%2, RetryRefill: note.Duration(time.Hour)}
+		h.SetRelease(note.NewRelease(uint64(generation+1), []note.Service{{Name: "s", Limits: limits}}, nil, nil))
+		for h.state.Load().services["s"].budget.TryWithdraw() {
+			retries++
+		}
+	}
+	if retries > 4 {
+		t.Errorf("%d retries without a request, want 4 at most", retries)
+	}
+}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -103,9 +103,11 @@
 		// Keep the queue: a new one would not count the requests that are running.
 		s.queue.SetMaxWaiting(maxWaiting)
 	}
-	if old == nil || old.note.Limits.RetryRatio != n.Limits.RetryRatio || old.note.Limits.RetryBurst != n.Limits.RetryBurst ||
-		old.note.Limits.RetryRefill != n.Limits.RetryRefill {
-		s.budget = limit.NewRetryBudget(n.Limits.RetryRatio, orDefault(n.Limits.RetryBurst, defaultRetryBurst), n.Limits.RetryRefill.Std())
+	ratio, burst, refill := n.Limits.RetryRatio, orDefault(n.Limits.RetryBurst, defaultRetryBurst), n.Limits.RetryRefill.Std()
+	if old == nil {
+		s.budget = limit.NewRetryBudget(ratio, burst, refill)
+	} else {
+		s.budget.Configure(ratio, burst, refill)
 	}
 }
 
