proxy, pool: connections to a server are divided by the VMs that use it

Cause, same class as the rate limits: a server accepts one number of connections from all VMs, and each VM took a 24th of it, which suits 18 VMs. 50 VMs that use a service of 64 servers or less could open twice as many as it accepts, 178 seven times as many; it resets those beyond.

Each VM divides by the number of VMs that use the server, 18 at least, and open pools follow. TestConnsFollowUsers fails before: 390 connections for 178 VMs gave 16 each, now 1. Sites with 18 VMs are unchanged.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -320,11 +320,16 @@
 	_ = component[*board.Board](v).Do(ctx, v.setRatedServersLocked())
 }
 
-// setRatedServersLocked returns the function that hands the servers in use, with the VMs
-// among which their rates are divided, to the control loop. releaseMu must be held.
+// setRatedServersLocked sets the number of VMs that use the servers, and returns the function
+// that hands the servers in use, with the VMs among which their rates are divided, to the
+// control loop. releaseMu must be held.
 func (v *VM) setRatedServersLocked() func(now time.Time) {
 	servers := ratedServers(v.release, v.local, v.zones)
 	alive := lo.SumBy(lo.Values(v.zones), func(ids []string) int { return len(ids) })
+	size := max(v.FleetSize(), alive)
+	for _, s := range v.release.Services() {
+		component[*proxy.Handler](v).SetUsers(s.Name, serverUsers(s, size))
+	}
 	return func(now time.Time) { v.rates.setServers(now, servers, alive) }
 }
 
--- a/entry/rates.go
+++ b/entry/rates.go
@@ -165,10 +165,7 @@
 	complete := lo.KeyBy(full.Services(), func(s note.Service) string { return s.Name })
 	for _, s := range used.Services() {
 		whole := complete[s.Name]
-		users := len(all)
-		if s.Detection.Profile == note.ProfileSwitch && len(whole.Servers) > maxAllServers {
-			users = min(users, 2*nearVMs+1+vmsPerServer)
-		}
+		users := serverUsers(whole, len(all))
 		zoneAddrs := map[string][]string{} // Servers of a zone, in the order of their preference.
 		for _, b := range s.Servers {
 			if zoneAddrs[b.Zone] == nil {
@@ -189,6 +186,15 @@
 	return out
 }
 
+// serverUsers returns how many of the VMs use a server of s: with the profile switch the near
+// ones and some of other zones, when the service has many servers.
+func serverUsers(s note.Service, vms int) int {
+	if s.Detection.Profile == note.ProfileSwitch && len(s.Servers) > maxAllServers {
+		return min(vms, 2*nearVMs+1+vmsPerServer)
+	}
+	return vms
+}
+
 // nearVMsOf returns the VM that prefers a server, of the VMs of its zone, and the nearVMs on
 // either side. addrs are the servers of the zone.
 func nearVMsOf(addr string, addrs, vms []string) []string {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,6 +49,7 @@
 	opts Options
 
 	mu        sync.Mutex
+	maxConns  int
 	idle      []*serverConn // Least recently used first.
 	open      int           // Open connections, including those that are being opened.
 	inflight  int           // Exchanges in flight.
@@ -83,7 +84,7 @@
 	if opts.StatedRate == nil {
 		opts.StatedRate = func(board.StatedRate) {}
 	}
-	return &Pool{addr: addr, opts: opts}
+	return &Pool{addr: addr, opts: opts, maxConns: opts.Conns}
 }
 
 // Addr returns the address of the backend server.
@@ -109,6 +110,14 @@
 	return p.open, len(p.idle)
 }
 
+// SetMaxConns changes the maximum number of open connections. Connections beyond it stay
+// open until they are not needed any more.
+func (p *Pool) SetMaxConns(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxConns = n
+}
+
 // Close closes idle connections now and each other connection when its exchange ends.
 // Exchanges may still start after Close, but their connections are not reused.
 func (p *Pool) Close() {
@@ -138,7 +147,7 @@
 	}
 	evicted, ok := p.reserveSlot()
 	if !ok {
-		return nil, fault.New(fault.NoServer, "all %d connections to %s are in use", p.opts.Conns, p.addr)
+		return nil, fault.New(fault.NoServer, "all connections to %s are in use", p.addr)
 	}
 	if evicted != nil {
 		evicted.close()
@@ -174,7 +183,7 @@
 func (p *Pool) reserveSlot() (evicted *serverConn, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open < p.opts.Conns {
+	if p.open < p.maxConns {
 		p.open++
 		return nil, true
 	}
@@ -201,7 +210,7 @@
 func (p *Pool) putIdle(c *serverConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.open > p.maxConns {
 		c.close()
 		p.open--
 		return
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -55,10 +55,6 @@
 	IdleTimeout       time.Duration // See pool.Options.
 	ConnectTimeout    time.Duration // See pool.Options.
 	Dial              func(ctx context.Context, network, address string) (net.Conn, error)
-	// Conns returns how many of the connections that a backend server accepts this
-	// VM may use. The default is 1/24 and at least one connection: 18 entry VMs then
-	// leave a quarter of the connections for health checks and replacement VMs.
-	Conns func(all int) int
 	// Subset returns the backend servers of a service that this VM uses; all by
 	// default. It is called on the goroutine that calls SetRelease.
 	Subset func(s note.Service, all []*pick.Target) []*pick.Target
@@ -295,13 +291,31 @@
 	return nil
 }
 
-const connsDivisor = 24
+const (
+	// defaultUsers is the number of VMs that use a server where it is not known, and the least.
+	defaultUsers = 18
+	// usedConns is the share of the connections that a server accepts that the VMs use. The
+	// rest is for health checks and replacement VMs.
+	usedConns = 0.75
+)
+
+// connsPerVM returns how many of the connections that a server accepts from all VMs each one
+// of its users may open, at least 1.
+func connsPerVM(all, users int) int { return max(1, int(usedConns*float64(all))/users) }
 
-func (h *Handler) connsPerVM(all int) int {
-	if h.opts.Conns != nil {
-		return h.opts.Conns(all)
+// SetUsers sets the number of VMs that use the servers of a service, this one included.
+func (h *Handler) SetUsers(name string, users int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	st := h.state.Load()
+	if st == nil || st.services[name] == nil {
+		return
+	}
+	s := st.services[name]
+	s.users = max(defaultUsers, users)
+	for _, v := range s.servers {
+		v.pool.SetMaxConns(connsPerVM(v.note.Conns, s.users))
 	}
-	return max(1, all/connsDivisor)
 }
 
 func (h *Handler) recordSample(s board.Sample) {
--- a/proxy/rate_test.go
+++ b/proxy/rate_test.go
@@ -169,3 +169,35 @@
 	f.do(http.MethodGet, "/look/1", "")
 	failIf(t, len(got) != 2, "got %+v from a server that states no limit", got[2:])
 }
+
+// Guards against VMs of a large fleet that together open more connections to a server than it
+// accepts, and against a change of their number that does not reach open pools.
+func TestConnsFollowUsers(t *testing.T) {
+	for _, c := range []struct{ all, users, want int }{
+		{390, 1, 16}, {390, 18, 16}, {390, 50, 5}, {1680, 50, 25}, {390, 178, 1}, {100, 178, 1},
+	} {
+		if got := connsPerVM(c.all, max(defaultUsers, c.users)); got != c.want {
+			t.Errorf("%d connections, %d users: %d for each, want %d", c.all, c.users, got, c.want)
+		}
+	}
+	hold := make(chan struct{})
+	server := serveRaw(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		<-hold
+		return echoBody(c, r, body)
+	})
+	f := newFixture(t, nil, server)
+	f.SetUsers("s", 200)
+	statuses := make(chan int, 3)
+	for range cap(statuses) {
+		go func() { statuses <- f.do(http.MethodGet, "/look/1", "").StatusCode }()
+	}
+	refused := 0
+	for range cap(statuses) - 1 { // One connection is open, the other requests find none.
+		if <-statuses == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	close(hold)
+	failIf(t, refused != 2 || <-statuses != http.StatusOK, "%d requests refused, want 2 of 3", refused)
+	failIf(t, server.conns.Load() != 1, "%d connections, want 1", server.conns.Load())
+}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -65,20 +65,24 @@
 	servers   map[string]*server
 	latencies *latencyWindows
 	counters  *requestCounters
+	users     int // VMs among which the connections that a server accepts are divided.
 }
 
 func (h *Handler) newService(n note.Service, old *service) *service {
 	if old != nil && reflect.DeepEqual(old.note, n) {
 		return old
 	}
-	s := &service{note: n, servers: map[string]*server{}}
+	s := &service{note: n, servers: map[string]*server{}, users: defaultUsers}
+	if old != nil {
+		s.users = old.users
+	}
 	h.inheritState(s, old)
 	for _, m := range n.Servers {
 		var prev *server
 		if old != nil {
 			prev = old.servers[m.Addr]
 		}
-		s.servers[m.Addr] = h.newServer(n.Name, m, prev)
+		s.servers[m.Addr] = h.newServer(n.Name, m, prev, s.users)
 	}
 	s.updateTargets(h.opts.Subset)
 	return s
@@ -111,7 +115,7 @@
 	}
 }
 
-func (h *Handler) newServer(name string, n note.Server, old *server) *server {
+func (h *Handler) newServer(name string, n note.Server, old *server, users int) *server {
 	if old != nil && old.note == n {
 		return old
 	}
@@ -139,7 +143,7 @@
 	}
 	v.pool = pool.New(n.Addr, pool.Options{
 		Service:        name,
-		Conns:          h.connsPerVM(n.Conns),
+		Conns:          connsPerVM(n.Conns, users),
 		Dialect:        h.opts.Dialect,
 		Server:         n.InstanceID,
 		IdleTimeout:    h.opts.IdleTimeout,
