quota, entry: stated rates while all VMs leave, and health probes

Found by looking for other ways to the excess: a VM that leaves is no holder, so a fleet of which all VMs stop at once refused everything at limited servers while callers still used it; each uses an even part now. Probes of release notes counted towards no share; servers with a limit get none, as the few requests that they accept show how they are.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -84,9 +84,11 @@
 	}
 	v.server = caller.New(handler, v.callerLimits(), counters)
 	v.registerGauges(counters)
-	v.probes = newProbes(ctx, newProber(v.FleetSize, func(service, server string, ok bool, took time.Duration) {
+	prober := newProber(v.FleetSize, func(service, server string, ok bool, took time.Duration) {
 		_ = component[*board.Board](v).Do(ctx, func(now time.Time) { v.health.observeProbe(now, service, server, ok, took) })
-	}))
+	})
+	prober.skip = proxyHandler.IsLimited
+	v.probes = newProbes(ctx, prober)
 }
 
 func (v *VM) newProxy(do.Injector) (*proxy.Handler, error) {
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -26,6 +26,9 @@
 type prober struct {
 	client   *http.Client
 	aliveVMs func() int // Number of VMs that are alive, this one included.
+	// skip reports whether a server gets no probes. One that accepts few requests shows by
+	// these how it is.
+	skip     func(service, server string) bool
 	onResult func(service, server string, ok bool, took time.Duration)
 }
 
@@ -34,6 +37,7 @@
 	return &prober{
 		client:   &http.Client{Transport: transport, Timeout: probeTimeout},
 		aliveVMs: aliveVMs,
+		skip:     func(string, string) bool { return false },
 		onResult: onResult,
 	}
 }
@@ -59,6 +63,9 @@
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentProbes)
 	for _, b := range s.Servers {
+		if p.skip(s.Name, b.Addr) {
+			continue
+		}
 		group.Go(func() error {
 			start := time.Now()
 			ok := p.probe(ctx, "http://"+b.Addr+s.Probe.Path)
--- a/entry/rates_test.go
+++ b/entry/rates_test.go
@@ -102,3 +102,14 @@
 		t.Errorf("shares %v and %d limits after the end of the limit", shares, r.limits.Load())
 	}
 }
+
+// Guards against health probes that use up what a server with a rate limit accepts.
+func TestLimitedServersGetNoProbes(t *testing.T) {
+	var probed []string
+	p := newProber(func() int { return 1 }, func(_, server string, _ bool, _ time.Duration) { probed = append(probed, server) })
+	p.skip = func(_, server string) bool { return server == "127.0.0.1:1" }
+	p.probeServers(t.Context(), note.Service{Name: "a", Servers: []note.Server{{Addr: "127.0.0.1:1"}, {Addr: "127.0.0.1:2"}}})
+	if !slices.Equal(probed, []string{"127.0.0.1:2"}) {
+		t.Errorf("probed %v, want the server without a limit", probed)
+	}
+}
--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -256,6 +256,10 @@
 	if rate == board.Unlimited {
 		return board.Unlimited
 	}
+	size := t.size.Observe(now, t.alive)
+	if len(s.Holders) == 0 {
+		return rate / float64(max(1, size)) // All VMs are leaving, and each still has requests.
+	}
 	n := max(1, int(min(rate/minShare, float64(len(s.Holders)))))
 	own := rank(t.self, s.Key)
 	before := 0 // Holders that come before this VM.
@@ -267,7 +271,7 @@
 	if before >= n || !slices.Contains(s.Holders, t.self) {
 		return 0
 	}
-	if size := t.size.Observe(now, t.alive); 2*t.alive <= size {
+	if 2*t.alive <= size {
 		n = max(n, size) // This VM may be cut off.
 	}
 	return rate / float64(n)
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -45,6 +45,7 @@
 	bucket   limit.Rate
 	up, cut  bool
 	frozen   bool
+	leaving  bool
 	told     bool     // It got a response that states a limit.
 	view     []string // Members that it considers alive.
 	pending  []view   // Changes that it will learn of, in order.
@@ -86,7 +87,7 @@
 func (f *fleet) alive() []string {
 	var out []string
 	for _, v := range f.vms {
-		if v.up && !v.cut {
+		if v.up && !v.cut && !v.leaving {
 			out = append(out, v.id)
 		}
 	}
@@ -103,7 +104,7 @@
 	alive := f.alive()
 	for _, v := range f.vms {
 		next := view{f.now() + time.Duration(f.random.Int64N(int64(maxLag))), alive}
-		if v.cut || !slices.Contains(alive, v.id) {
+		if v.cut || !v.up {
 			next.members = []string{v.id}
 		}
 		if n := len(v.pending); n > 0 {
@@ -318,6 +319,17 @@
 				f.restart(v)
 			}
 		},
+		"all leave and return": func(f *fleet) {
+			for _, v := range f.vms {
+				v.leaving = true
+			}
+			f.changed()
+			f.run(f.now() + 4*time.Second)
+			for _, v := range f.vms {
+				v.leaving = false
+			}
+			f.changed()
+		},
 		"idle until all may send at once": func(f *fleet) {
 			f.idle = true
 			f.run(f.now() + 6*time.Second)
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -235,6 +235,16 @@
 	}
 }
 
+// IsLimited reports whether a backend server states a rate limit.
+func (h *Handler) IsLimited(name, addr string) bool {
+	st := h.state.Load()
+	if st == nil || st.services[name] == nil {
+		return false
+	}
+	v := st.services[name].servers[addr]
+	return v != nil && v.target.Rate().Limited()
+}
+
 // GrantTrial allows one attempt at a backend server beyond the bound on its rate.
 func (h *Handler) GrantTrial(name, addr string) {
 	if st := h.state.Load(); st != nil && st.services[name] != nil {
