--- a/worker/behavior.go
+++ b/worker/behavior.go
@@ -63,6 +63,9 @@
 	Share float64 `json:"share,omitempty"`
 	// Period makes the worker flap: Mode applies in the first half of each period only.
 	Period time.Duration `json:"period,omitempty"` // In nanoseconds.
+	// Rate is the request rate that the worker states in its responses, per second, in every
+	// mode; 0 means none. It serves requests beyond it.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 func (b Behavior) factor() float64 {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -38,6 +38,7 @@
 const (
 	headerID       = "X-Request-Id"
 	headerRefused  = "Azuredeal-Refused"
+	headerRate     = "Azuredeal-Rate-Limit"
 	headerDeadline = "Azuredeal-Deadline"
 	headerKey      = "Idempotency-Key"
 )
@@ -97,6 +98,13 @@
 	s.since = time.Now()
 }
 
+// statedRate returns the request rate that the worker states, 0 for none.
+func (s *Server) statedRate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behavior.Rate
+}
+
 // RunsByKey returns the number of times that the action of each idempotency key was
 // started.
 func (s *Server) RunsByKey() map[string]int {
@@ -160,6 +168,9 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.arrived.Add(1)
 	w.Header().Set(headerID, r.Header.Get(headerID))
+	if rate := s.statedRate(); rate > 0 {
+		w.Header().Set(headerRate, strconv.FormatFloat(rate, 'f', -1, 64))
+	}
 	switch {
 	case s.draining.Load():
 		refuse(w, refusedDraining)
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -87,3 +87,26 @@
 		}
 	}
 }
+
+// Guards against a worker that states its rate in served requests only, or goes on with it.
+func TestStatedRate(t *testing.T) {
+	s := New(Options{Slots: 1, Median: time.Millisecond})
+	header := func() string {
+		rec := httptest.NewRecorder()
+		s.Handler().ServeHTTP(rec, newRequest(http.MethodGet, ""))
+		return rec.Header().Get(headerRate)
+	}
+	s.SetBehavior(Behavior{Rate: 2.5})
+	if got := header(); got != "2.5" {
+		t.Errorf("stated rate %q, want 2.5", got)
+	}
+	s.slots <- struct{}{}
+	if got := header(); got != "2.5" {
+		t.Errorf("stated rate %q in a refusal, want 2.5", got)
+	}
+	<-s.slots
+	s.SetBehavior(Behavior{})
+	if got := header(); got != "" {
+		t.Errorf("stated rate %q after its end", got)
+	}
+}
