--- a/pick/pick.go
+++ b/pick/pick.go
@@ -257,7 +257,10 @@
 // comes before all others: this VM alone may use that part of the rate, which is lost when it
 // stays unused, while the servers without a bound take over what the others no longer get.
 func (s *snapshot) limitedWithRate(r *sequence, f filter) *Target {
-	start := r.intn(max(1, len(s.all)))
+	if !slices.ContainsFunc(s.all, func(t *Target) bool { return t.rate.Limited() }) {
+		return nil
+	}
+	start := r.intn(len(s.all))
 	for i := range s.all {
 		t := s.all[(start+i)%len(s.all)]
 		if t.rate.Limited() && f.allows(t) && r.float() < t.Weight() {
