azuredeal: settings that change while the process starts are noticed

Traced: the settings were parsed first and the file read a second time when its watch began, as the content to compare with. A change in between was equal to itself from then on. On a busy machine the test's change fell into that gap.

The content that was parsed is the one to compare with, and the watch compares before its first wait. TestSettingsChangedDuringStart changes the file in the gap; with the file read anew at the start of the watch it does not end.

--- a/cmd/azuredeal/reload.go
+++ b/cmd/azuredeal/reload.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/azuredeal/azuredeal/conf"
@@ -18,35 +19,56 @@
 // reloaded are needed only when a VM looks for peers.
 const reloadInterval = 5 * time.Second
 
-// watchSettings calls reload with changed settings until ctx ends. SIGHUP makes it read
-// the file at once. Settings that are invalid are logged and not applied.
-func watchSettings(ctx context.Context, path string, log zerolog.Logger, reload func(conf.Settings)) {
+// settingsFile is a settings file with the content that was last read.
+type settingsFile struct {
+	path string
+	data []byte
+}
+
+// readSettings reads a settings file. Its errors are those of os.ReadFile and conf.Parse.
+func readSettings(path string) (settingsFile, conf.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return settingsFile{}, conf.Settings{}, errors.Wrap(err, "read settings")
+	}
+	settings, err := conf.Parse(data)
+	return settingsFile{path, data}, settings, err
+}
+
+// watch calls reload with settings that differ from those last read, until ctx ends. SIGHUP
+// makes it read the file at once. Settings that are invalid are logged and not applied.
+func (f settingsFile) watch(ctx context.Context, log zerolog.Logger, reload func(conf.Settings)) {
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
 	defer signal.Stop(sighup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	lastData, err := os.ReadFile(path)
 	for {
-		if err != nil {
-			log.Warn().Err(err).Str("file", path).Msg("cannot read settings file; keeping previous settings")
-		}
+		// The file may have changed since it was last read, so it is read before the first wait.
+		f.compare(log, reload)
 		select {
 		case <-ctx.Done():
 			return
 		case <-sighup:
 		case <-ticker.C:
 		}
-		var data []byte
-		if data, err = os.ReadFile(path); err != nil || bytes.Equal(data, lastData) {
-			continue
-		}
-		lastData = data
-		settings, problems := conf.Parse(data)
-		if problems != nil {
-			log.Error().Err(problems).Str("file", path).Msg("settings have problems; keeping previous settings")
-			continue
-		}
-		reload(settings)
 	}
 }
+
+// compare reads the file and calls reload if its content has changed to other valid settings.
+func (f *settingsFile) compare(log zerolog.Logger, reload func(conf.Settings)) {
+	next, settings, err := readSettings(f.path)
+	switch {
+	case next.data == nil:
+		log.Warn().Err(err).Str("file", f.path).Msg("cannot read settings file; keeping previous settings")
+		return
+	case bytes.Equal(next.data, f.data):
+		return
+	}
+	f.data = next.data
+	if err != nil {
+		log.Error().Err(err).Str("file", f.path).Msg("settings have problems; keeping previous settings")
+		return
+	}
+	reload(settings)
+}
--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -31,11 +31,11 @@
 // Run serves until SIGINT or SIGTERM. The first signal starts the graceful shutdown,
 // the second one stops the VM at once.
 func (c *serveCommand) Run(ctx context.Context) error {
-	// Before watchSettings handles SIGHUP, the signal must not end the process. Settings
-	// that change in that time are found by its periodic comparison.
+	// Before the settings file is watched, SIGHUP must not end the process. Settings that
+	// change in that time are found when the watch begins.
 	signal.Ignore(syscall.SIGHUP)
 	path := cmp.Or(c.File, os.Getenv(settingsEnvVar))
-	settings, err := conf.Load(path)
+	file, settings, err := readSettings(path)
 	var problems strict.Problems
 	if errors.As(err, &problems) {
 		return printProblems(err)
@@ -55,14 +55,14 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	defer signal.Stop(signals)
 	if settings.Platform.API == conf.APIObjects {
-		return serveObjects(hardCtx, path, settings, log, signals, hardStop)
+		return serveObjects(hardCtx, file, settings, log, signals, hardStop)
 	}
 	vm, err := entry.New(hardCtx, settings, entry.Options{Log: log})
 	if err != nil {
 		return err
 	}
 	go runOnSignals(hardCtx, signals, vm.Drain, hardStop)
-	go watchSettings(hardCtx, path, log, vm.Reload)
+	go file.watch(hardCtx, log, vm.Reload)
 	return vm.Run(hardCtx)
 }
 
@@ -81,7 +81,7 @@
 // serveObjects runs an entry VM on a platform that offers a metadata store of objects. The VM
 // registers there first; a signal cancels the registration.
 func serveObjects(
-	hardCtx context.Context, path string, settings conf.Settings, log zerolog.Logger, signals <-chan os.Signal, hardStop func(),
+	hardCtx context.Context, file settingsFile, settings conf.Settings, log zerolog.Logger, signals <-chan os.Signal, hardStop func(),
 ) error {
 	client := platform.NewClient(settings.Platform.URL)
 	registry := platform.NewRegistry(client, log)
@@ -116,7 +116,7 @@
 		return err
 	}
 	go runOnSignals(hardCtx, signals, vm.Drain, hardStop)
-	go watchSettings(hardCtx, path, log, vm.Reload)
+	go file.watch(hardCtx, log, vm.Reload)
 	group, ctx := errgroup.WithContext(hardCtx)
 	ctx, cancel := context.WithCancel(ctx)
 	group.Go(func() error { return platform.NewDiscoveryServer(settings, vm, log).Run(ctx) })
