--- a/entry/rates.go
+++ b/entry/rates.go
@@ -58,6 +58,10 @@
 // setServers replaces the servers that this VM uses.
 func (r *rates) setServers(now time.Time, servers []quota.Server, alive int) {
 	r.table.SetServers(now, servers, alive)
+	maps.DeleteFunc(r.logged, func(key quota.Key, _ float64) bool {
+		_, used := r.table.Server(key)
+		return !used
+	})
 	r.apply(now)
 }
 
--- a/entry/rates_test.go
+++ b/entry/rates_test.go
@@ -97,10 +97,18 @@
 	if len(told) != 1 || told[0].GetServer() != uint64(key) || told[0].GetLimit() != 4 {
 		t.Errorf("told %v, want one message", told)
 	}
+	if len(r.logged) != 1 {
+		t.Errorf("%d rates remembered for the log, want 1", len(r.logged))
+	}
 	r.merge(now.Add(time.Second), []*wire.Rate{{Server: uint64(key), Unlimited: true}})
 	if shares["10.0.0.1:80"] != board.Unlimited || r.limits.Load() != 0 {
 		t.Errorf("shares %v and %d limits after the end of the limit", shares, r.limits.Load())
 	}
+	r.observe(now.Add(2*time.Second), board.StatedRate{Service: "a", Server: "10.0.0.1:80", Instance: "i-1", PerSecond: 4, At: now.Add(2 * time.Second)})
+	r.setServers(now.Add(3*time.Second), nil, 1)
+	if len(r.logged) != 0 {
+		t.Errorf("%d rates of servers that are not used are remembered for the log", len(r.logged))
+	}
 }
 
 // Guards against health probes that use up what a server with a rate limit accepts.
