--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -177,16 +177,31 @@
 	}
 }
 
+// serviceByName returns a service of the release in effect, or nil.
+func (h *Handler) serviceByName(name string) *service {
+	if st := h.state.Load(); st != nil {
+		return st.services[name]
+	}
+	return nil
+}
+
+// serverByAddr returns a server of a service of the release in effect, or nil.
+func (h *Handler) serverByAddr(name, addr string) *server {
+	if s := h.serviceByName(name); s != nil {
+		return s.servers[addr]
+	}
+	return nil
+}
+
 // SetWeights sets the weights, 0 to 1, of backend servers of a service, by address.
 // Servers that are not listed keep their weight.
 func (h *Handler) SetWeights(name string, weights map[string]float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	st := h.state.Load()
-	if st == nil || st.services[name] == nil {
+	s := h.serviceByName(name)
+	if s == nil {
 		return
 	}
-	s := st.services[name]
 	for addr, w := range weights {
 		if v := s.servers[addr]; v != nil {
 			v.target.SetWeight(w)
@@ -200,20 +215,20 @@
 func (h *Handler) SetPreferred(name string, addrs []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if st := h.state.Load(); st != nil && st.services[name] != nil {
-		st.services[name].picker.SetPreferred(addrs)
+	if s := h.serviceByName(name); s != nil {
+		s.picker.SetPreferred(addrs)
 	}
 }
 
 // SetPeerInflight sets the estimated number of requests that other VMs have in
 // flight at backend servers of a service, by address.
 func (h *Handler) SetPeerInflight(name string, others map[string]float64) {
-	st := h.state.Load()
-	if st == nil || st.services[name] == nil {
+	s := h.serviceByName(name)
+	if s == nil {
 		return
 	}
 	for addr, n := range others {
-		if v := st.services[name].servers[addr]; v != nil {
+		if v := s.servers[addr]; v != nil {
 			v.target.SetPeerInflight(n)
 		}
 	}
@@ -224,11 +239,10 @@
 func (h *Handler) SetRate(name, addr string, perSecond float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	st := h.state.Load()
-	if st == nil || st.services[name] == nil {
+	s := h.serviceByName(name)
+	if s == nil {
 		return
 	}
-	s := st.services[name]
 	if v := s.servers[addr]; v != nil {
 		v.target.Rate().Set(time.Now(), perSecond)
 		s.updateMaxRunning()
@@ -237,20 +251,14 @@
 
 // IsLimited reports whether a backend server states a rate limit.
 func (h *Handler) IsLimited(name, addr string) bool {
-	st := h.state.Load()
-	if st == nil || st.services[name] == nil {
-		return false
-	}
-	v := st.services[name].servers[addr]
+	v := h.serverByAddr(name, addr)
 	return v != nil && v.target.Rate().Limited()
 }
 
 // GrantTrial allows one attempt at a backend server beyond the bound on its rate.
 func (h *Handler) GrantTrial(name, addr string) {
-	if st := h.state.Load(); st != nil && st.services[name] != nil {
-		if v := st.services[name].servers[addr]; v != nil {
-			v.target.Rate().Grant(time.Now())
-		}
+	if v := h.serverByAddr(name, addr); v != nil {
+		v.target.Rate().Grant(time.Now())
 	}
 }
 
@@ -317,11 +325,10 @@
 func (h *Handler) SetUsers(name string, users int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	st := h.state.Load()
-	if st == nil || st.services[name] == nil {
+	s := h.serviceByName(name)
+	if s == nil {
 		return
 	}
-	s := st.services[name]
 	s.users = max(defaultUsers, users)
 	for _, v := range s.servers {
 		v.pool.SetMaxConns(connsPerVM(v.note.Conns, s.users))
