--- a/internal/fleet/quota/quota.go
+++ b/internal/fleet/quota/quota.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -161,6 +162,7 @@
 	t.dropUnused(now)
 }
 
+// dropUnused drops old statements of servers that this VM does not use.
 func (t *Table) dropUnused(now time.Time) {
 	maps.DeleteFunc(t.statements, func(key Key, st *statement) bool {
 		return t.servers[key] == nil && now.Sub(st.At) > keepUnused
@@ -177,7 +179,7 @@
 // Merge records a statement that another VM got. It reports whether the rate is another one
 // than the known.
 func (t *Table) Merge(now time.Time, st Statement) (changed bool) {
-	if now.Sub(st.At) > maxAge || st.PerSecond < 0 || st.PerSecond != st.PerSecond {
+	if now.Sub(st.At) > maxAge || st.PerSecond < 0 || math.IsNaN(st.PerSecond) {
 		return false
 	}
 	known, changed := t.record(st)
@@ -261,14 +263,7 @@
 		return rate / float64(max(1, size)) // All VMs are leaving, and each still has requests.
 	}
 	n := max(1, int(min(rate/minShare, float64(len(s.Holders)))))
-	own := rank(t.self, s.Key)
-	before := 0 // Holders that come before this VM.
-	for _, vm := range s.Holders {
-		if vm != t.self && (rank(vm, s.Key) > own || rank(vm, s.Key) == own && vm < t.self) {
-			before++
-		}
-	}
-	if before >= n || !slices.Contains(s.Holders, t.self) {
+	if !s.isAmongFirst(t.self, n) {
 		return 0
 	}
 	if 2*t.alive <= size {
@@ -277,6 +272,18 @@
 	return rate / float64(n)
 }
 
+// isAmongFirst reports whether a VM is one of the first n holders of s by rank.
+func (s *Server) isAmongFirst(self string, n int) bool {
+	own := rank(self, s.Key)
+	before := 0
+	for _, vm := range s.Holders {
+		if r := rank(vm, s.Key); vm != self && (r > own || r == own && vm < self) {
+			before++
+		}
+	}
+	return before < n && slices.Contains(s.Holders, self)
+}
+
 // rank orders the VMs for a server by rendezvous hashing.
 func rank(vm string, key Key) uint64 {
 	h := fnv.New64a()
@@ -311,21 +318,31 @@
 func (t *Table) Tell(now time.Time) (out []Statement, urgent bool) {
 	for _, key := range slices.SortedFunc(maps.Keys(t.statements), cmp.Compare[Key]) {
 		st := t.statements[key]
-		if !st.At.After(st.toldAt) {
-			continue // Nothing new since then.
-		}
-		large := IsLargeChange(st.told, st.PerSecond)
-		sinceTold := now.Sub(st.toldAt)
-		if !large && (st.PerSecond == board.Unlimited || sinceTold < refreshInterval) && (st.PerSecond == st.told || sinceTold < minTellInterval) {
+		due, atOnce := st.isDue(now)
+		if !due {
 			continue
 		}
 		st.told, st.toldAt = st.PerSecond, now
-		urgent = urgent || large
+		urgent = urgent || atOnce
 		out = append(out, st.Statement)
 	}
 	return out, urgent
 }
 
+// isDue reports whether other VMs are to be told of the statement, and whether at once.
+func (st *statement) isDue(now time.Time) (due, atOnce bool) {
+	sinceTold := now.Sub(st.toldAt)
+	switch {
+	case !st.At.After(st.toldAt): // Nothing new since then.
+		return false, false
+	case IsLargeChange(st.told, st.PerSecond):
+		return true, true
+	case st.PerSecond != st.told:
+		return sinceTold >= minTellInterval, false
+	}
+	return st.PerSecond != board.Unlimited && sinceTold >= refreshInterval, false
+}
+
 // IsLargeChange reports whether a change of a rate is more than the usual variation.
 func IsLargeChange(before, after float64) bool {
 	if before == board.Unlimited || after == board.Unlimited {
