--- a/proxy/rate_test.go
+++ b/proxy/rate_test.go
@@ -105,7 +105,8 @@
 }
 
 // Guards against a queue that admits as many requests as the slots of servers that accept
-// only a part of them.
+// only a part of them, and against one without room for a request that waits for its turn: turns
+// would be lost while the requests before it run.
 func TestQueueFollowsRates(t *testing.T) {
 	bounded, free := serveRaw(t, echoBody), serveRaw(t, echoBody)
 	f := newFixture(t, nil, bounded, free)
@@ -121,6 +122,8 @@
 	f.SetRate("s", bounded.Addr().String(), 0)
 	want := s.servers[free.Addr().String()].limit.Limit()
 	failIf(t, s.queue.MaxRunning() != want, "%d admitted, want %d", s.queue.MaxRunning(), want)
+	f.SetRate("s", bounded.Addr().String(), 1)
+	failIf(t, s.queue.MaxRunning() != want+1, "%d admitted, want %d and one that waits for its turn", s.queue.MaxRunning(), want)
 	f.SetRate("s", bounded.Addr().String(), board.Unlimited)
 	failIf(t, s.queue.MaxRunning() != admitted(), "%d admitted after the end of the bound, want %d", s.queue.MaxRunning(), admitted())
 }
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -173,9 +173,10 @@
 
 // updateMaxRunning sets the number of requests that the queue admits at once to the
 // sum of the concurrency limits of the usable servers, but at least 1. A server with a bound
-// on its rate counts for the requests that this rate keeps in flight, by Little's law.
+// on its rate counts for the requests that this rate keeps in flight, by Little's law; one more
+// may wait for the next turn at such a server meanwhile.
 func (s *service) updateMaxRunning() {
-	maxRunning := 0.0
+	maxRunning, waiting := 0.0, 0.0
 	for _, t := range s.picker.Targets() {
 		// The picker may already follow a newer release than s.
 		v := s.servers[t.Addr()]
@@ -184,11 +185,15 @@
 		}
 		concurrency := float64(v.limit.Limit())
 		if t.Rate().Limited() {
-			concurrency = min(concurrency, t.Rate().PerSecond()*v.limit.Latency().Seconds())
+			perSecond := t.Rate().PerSecond()
+			concurrency = min(concurrency, perSecond*v.limit.Latency().Seconds())
+			if perSecond > 0 {
+				waiting = 1
+			}
 		}
 		maxRunning += concurrency
 	}
-	s.queue.SetMaxRunning(max(1, int(math.Ceil(maxRunning))))
+	s.queue.SetMaxRunning(max(1, int(math.Ceil(maxRunning+waiting))))
 }
 
 // closeUnusedPools closes the connection pools that next does not use; all of them
