member: rates are not kept for links that do not carry them

Found on reading the change again: on links to other zones of a large fleet the queued servers were never dropped, one entry for each process that ever stated a rate. TestRatesDoNotPileUp- OnOtherLinks has 100 entries before and none after.

--- a/entry/probe.go
+++ b/entry/probe.go
@@ -26,8 +26,8 @@
 type prober struct {
 	client   *http.Client
 	aliveVMs func() int // Number of VMs that are alive, this one included.
-	// skip reports whether a server gets no probes. One that accepts few requests shows by
-	// these how it is.
+	// skip reports whether a server gets no probes, as one with a rate limit would spend part
+	// of it on them.
 	skip     func(service, server string) bool
 	onResult func(service, server string, ok bool, took time.Duration)
 }
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -497,3 +497,33 @@
 	// b: 1.25 per second
 	// c: 1.25 per second
 }
+
+// Guards against a fleet that stops all at once and refuses what its callers still send to
+// limited servers, or uses the rate once for each VM.
+func TestSharesWhileAllVMsLeave(t *testing.T) {
+	const vms, rate = 18, 9.0
+	start := time.Now()
+	server := Server{Key: KeyOf("s", "a", "i"), Service: "s", Addr: "a", Users: vms}
+	sum := 0.0
+	for i := range vms {
+		table := New(fmt.Sprint("vm-", i), uint64(i))
+		server.Holders = []string{"vm-0", "vm-1"}
+		table.SetServers(start, []Server{server}, vms)
+		table.Shares(start)
+		table.SetServers(start.Add(time.Minute), []Server{server}, vms)
+		table.Merge(start.Add(time.Minute), Statement{server.Key, rate, start.Add(time.Minute)})
+		server.Holders = nil
+		for after := time.Minute; after < time.Minute+2*handoverDelay; after += 100 * time.Millisecond {
+			table.SetServers(start.Add(after), []Server{server}, 0)
+			for _, share := range table.Shares(start.Add(after)) {
+				if after > time.Minute+handoverDelay && share.PerSecond == 0 {
+					t.Fatalf("vm-%d has no share", i)
+				}
+			}
+		}
+		sum += table.servers[server.Key].share
+	}
+	if math.Abs(sum-rate) > 1e-9 {
+		t.Errorf("the shares add up to %v, want %v", sum, rate)
+	}
+}
--- a/member/events_test.go
+++ b/member/events_test.go
@@ -87,3 +87,19 @@
 		t.Errorf("%d rates queued, want %d", got, maxRates)
 	}
 }
+
+// Guards against rates that pile up on links that do not carry them, for as long as a link
+// lives and servers come and go.
+func TestRatesDoNotPileUpOnOtherLinks(t *testing.T) {
+	v, id := viewWithLink(3)
+	v.zoneSharing = true // The only link is to another availability zone.
+	for n := range uint64(100) {
+		v.QueueRates(testStart, []*wire.Rate{{Server: n, Limit: 1}})
+		if got := v.BuildHeartbeat(testStart, id, News{}).GetRates(); len(got) != 0 {
+			t.Fatalf("rates %v on a link to another zone", got)
+		}
+	}
+	if got := len(v.link(id).rates); got != 0 {
+		t.Errorf("%d rates are queued on the link", got)
+	}
+}
--- a/member/rate.go
+++ b/member/rate.go
@@ -50,7 +50,8 @@
 
 // queuedRates removes the rates queued on a link and returns them with their age.
 func (v *View) queuedRates(now time.Time, l *link) []*wire.Rate {
-	if len(l.rates) == 0 || !v.sendsEventsTo(l) {
+	defer clear(l.rates)
+	if !v.sendsEventsTo(l) {
 		return nil
 	}
 	var out []*wire.Rate
@@ -62,7 +63,6 @@
 			})
 		}
 	}
-	clear(l.rates)
 	return out
 }
 
