platform, feed: log eras of the store, refused listings and objects taken in

Callers get 404 for routes that were added after the store came back from a copy; the logs did not say why. No change of logic.

--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -83,7 +83,7 @@
 func serveObjects(
 	hardCtx context.Context, file settingsFile, settings conf.Settings, log zerolog.Logger, signals <-chan os.Signal, hardStop func(),
 ) error {
-	client := platform.NewClient(settings.Platform.URL)
+	client := platform.NewClient(settings.Platform.URL, log)
 	registry := platform.NewRegistry(client, log)
 	joinCtx, cancelJoin := context.WithCancel(hardCtx)
 	go runOnSignals(joinCtx, signals, cancelJoin)
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -307,12 +307,28 @@
 	}
 	changes, ok := f.log.Replace(upto, objects)
 	if !ok {
+		f.opts.Log.Warn().Str("kind", f.opts.Kind).Uint64("revision", upto).Uint64("known", f.log.Known()).
+			Msg("listing of the platform is behind the known revision; not taking it")
 		return Update{}, errors.Wrapf(errBehind, "revision %d", upto)
 	}
+	f.logUnchanged(objects, changes)
 	missed, _ = f.log.Append(upto, newest, missed)
 	return Update{Changes: append(changes, missed...)}, nil
 }
 
+// logUnchanged logs how many objects of a listing are not among its changes, as they were
+// written at revisions that are not above the known ones.
+func (f *Follower) logUnchanged(objects, changes []Change) {
+	changed := 0
+	for _, c := range changes {
+		if !c.Removed() {
+			changed++
+		}
+	}
+	f.opts.Log.Info().Str("kind", f.opts.Kind).Int("objects", len(objects)).Int("changed", changed).
+		Uint64("known", f.log.Known()).Msg("listing of the platform taken")
+}
+
 // watch waits for changes. It returns errInterrupted when cancelWatch ends the wait.
 func (f *Follower) watch(ctx context.Context, wait time.Duration) (Update, error) {
 	watch, cancel := context.WithCancel(ctx)
