feed: an object that was removed and created again is not removed a second time

A VM that pulled changes from a VM which had seen the removal and the new object in one response took the removal once more, without the object that followed it: a running server was not used there until its next change.

Cause: removals are passed on whatever their revision, since platforms may state an earlier one, but the object was left out as known.

TestCreatedAgainInOneResponse fails on the code before: since 12: [-a@11 b@13].

--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -199,8 +199,8 @@
 		if b.upto <= after {
 			continue
 		}
-		for _, c := range b.changes {
-			if c.removed || c.revision > after {
+		for i, c := range b.changes {
+			if c.revision > after || c.removed && !isCreatedAgain(c.name, b.changes[i+1:], after) {
 				changes = append(changes, c)
 			}
 		}
@@ -208,6 +208,13 @@
 	return changes, max(after, l.known), true
 }
 
+// isCreatedAgain reports whether an object exists again after its removal, up to a revision.
+func isCreatedAgain(name string, changes []Change, upto uint64) bool {
+	return slices.ContainsFunc(changes, func(c Change) bool {
+		return c.name == name && !c.removed && c.revision <= upto
+	})
+}
+
 // Reply returns the reply to a pull of another VM: the changes after a revision. When the
 // history does not reach back to it, the reply has all objects if complete is set, and none
 // otherwise: all objects are much to send, and a VM that reaches the platform gets what it
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// Guards against a VM that loses an object which was removed and created again, as the VM that
+// it pulls changes from has seen both at once.
+func TestCreatedAgainInOneResponse(t *testing.T) {
+	l := NewLog()
+	l.Replace(10, []Change{change("a", 4)})
+	l.Append(10, 13, []Change{NewRemoval("a", 11), change("a", 12), change("b", 13)})
+	if got, _, ok := l.Since(12); !ok || summary(got) != "[b@13]" {
+		t.Errorf("since 12: %s, %v", summary(got), ok)
+	}
+	if got, _, ok := l.Since(11); !ok || summary(got) != "[-a@11 a@12 b@13]" {
+		t.Errorf("since 11: %s, %v", summary(got), ok)
+	}
+}
+
 // Guards against a removal that no other VM hears of, because the platform states the
 // revision of the object in place of that of its removal.
 func TestRemovalRaisesTheNewestRevision(t *testing.T) {
