feed, platform: a revision counts only together with its era

After the platform's store came back from a copy, callers got 404 for routes that were added later: no VM took the configuration in force.

Cause: revisions were taken for numbers that only grow. Listings of the restored store were refused as being behind, and an object written at a revision that had been given out before was taken for the known one. The same numbers order changes between VMs, entries of servers and starts of VMs.

Change: one type, feed.Position, holds era and revision; positions of a later era are above all earlier ones, so every comparison holds across eras. Objects of another era are compared by their contents. A VM passes the difference between two eras on to VMs for which it leads on, and all objects to others, so that not each of them calls. Stale listings end with the first restore.

TestLogsFollowRestoresInAnyOrder tries all orders of six changes, restores, listings and pulls.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -206,14 +206,14 @@
 			component[*deploy.Follower](v).ObservePeerGeneration(peer.GetPeer(), generation)
 		}
 	}
-	if v.opts.LatestRevisions != nil {
-		opts.Generation = func() uint64 { config, _ := v.opts.LatestRevisions(); return config }
+	if v.opts.LatestPositions != nil {
+		opts.Generation = func() uint64 { config, _ := v.opts.LatestPositions(); return uint64(config) }
 		opts.OnNewerGeneration = func(peer *wire.Member, config uint64) {
-			v.opts.ObservePeerRevisions(v.feedPeer(peer), config, 0)
+			v.opts.ObservePeerPositions(v.feedPeer(peer), feed.Position(config), 0)
 		}
-		opts.Roster = func() uint64 { _, servers := v.opts.LatestRevisions(); return servers }
+		opts.Roster = func() uint64 { _, servers := v.opts.LatestPositions(); return uint64(servers) }
 		opts.OnNewerRoster = func(peer *wire.Member, servers uint64) {
-			v.opts.ObservePeerRevisions(v.feedPeer(peer), 0, servers)
+			v.opts.ObservePeerPositions(v.feedPeer(peer), 0, feed.Position(servers))
 		}
 		opts.FirstHand = v.WatchesPlatform
 		opts.ZoneSharing = true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,12 +42,12 @@
 	// stores otherwise. A VM with a source joins the fleet only after its first release,
 	// since without one it can't serve any request.
 	ReleaseSource func(ctx context.Context, apply func(*note.Release, caller.Limits)) error
-	// LatestRevisions returns the latest platform revisions of configuration and backend
-	// servers that the source has seen, and ObservePeerRevisions passes it those that
-	// another VM reports. A revision of 0 is unknown. ServePull replies to another VM that
+	// LatestPositions returns the positions of the latest changes to configuration and backend
+	// servers that the source has seen, and ObservePeerPositions passes it those that
+	// another VM reports. A position of 0 is unknown. ServePull replies to another VM that
 	// pulls changes. Set all three, together with ReleaseSource, or none.
-	LatestRevisions      func() (config, servers uint64)
-	ObservePeerRevisions func(peer feed.Peer, config, servers uint64)
+	LatestPositions      func() (config, servers feed.Position)
+	ObservePeerPositions func(peer feed.Peer, config, servers feed.Position)
 	ServePull            func(pull *wire.Pull) *wire.Changes
 	// DiscoverVMs returns the VMs of the fleet. Without a ReleaseSource the VM lists them
 	// from the platform of the settings instead.
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -1,10 +1,10 @@
 // Package feed keeps the recent changes of one kind of object of the platform, so that a
 // VM can pass them on to others, and decides which VMs of a fleet watch the platform.
 //
-// The platform numbers its changes with revisions. A few VMs watch it; each tells its links
-// the revision of the newest change, and VMs that lack it pull the changes after their own
-// revision from the VM that told them. A chain of such pulls reaches the whole fleet, and the
-// calls to the platform do not grow with it.
+// The platform numbers its changes with revisions, anew in each era (see Position). A few VMs
+// watch it; each tells its links the position of the newest change, and VMs that lack it pull
+// the changes after their own position from the VM that told them. A chain of such pulls
+// reaches the whole fleet, and the calls to the platform do not grow with it.
 package feed
 
 import (
@@ -24,28 +24,28 @@
 // Change is one change of an object.
 type Change struct {
 	name     string
-	revision uint64
+	position Position
 	removed  bool
 	data     []byte
 }
 
 // NewChange returns the change that created or replaced an object. data is the object as
 // the platform encodes it and must not be modified afterwards.
-func NewChange(name string, revision uint64, data []byte) Change {
-	return Change{name: name, revision: revision, data: data}
+func NewChange(name string, position Position, data []byte) Change {
+	return Change{name: name, position: position, data: data}
 }
 
-// NewRemoval returns the change that removed an object. The revision is that of the removal
+// NewRemoval returns the change that removed an object. The position is that of the removal
 // or, on a platform that does not state it, any earlier one.
-func NewRemoval(name string, revision uint64) Change {
-	return Change{name: name, revision: revision, removed: true}
+func NewRemoval(name string, position Position) Change {
+	return Change{name: name, position: position, removed: true}
 }
 
 // Name returns the name of the object.
 func (c Change) Name() string { return c.name }
 
-// Revision returns the revision of the change.
-func (c Change) Revision() uint64 { return c.revision }
+// Position returns the position of the change.
+func (c Change) Position() Position { return c.position }
 
 // Removed reports whether the change removed the object.
 func (c Change) Removed() bool { return c.removed }
@@ -53,12 +53,17 @@
 // Data returns the object as the platform encodes it, nil after a removal.
 func (c Change) Data() []byte { return c.data }
 
-// batch holds all changes after the revision of the batch before it, up to upto.
+// batch holds all changes after one position up to another.
 type batch struct {
-	upto    uint64
-	changes []Change
+	after, upto Position
+	changes     []Change
 }
 
+// changesEra reports whether the batch leads into another era. Its changes are the difference
+// between what was known at b.after and what exists at b.upto, so they lead nowhere from any
+// other position above b.after.
+func (b batch) changesEra() bool { return b.after.Era() != b.upto.Era() }
+
 // Bounds of the history that a Log keeps for other VMs. A VM that lacks more than that
 // reads the platform.
 const (
@@ -70,9 +75,9 @@
 // safe for concurrent use.
 type Log struct {
 	mu      sync.Mutex
-	start   uint64            // The history holds all changes after this revision.
-	known   uint64            // All changes up to this revision are known.
-	newest  uint64            // Revision of the newest known change.
+	start   Position          // The history holds all changes after this position.
+	known   Position          // All changes up to this position are known.
+	newest  Position          // Of the newest known change.
 	objects map[string]Change // The last change of each object, by name.
 	history []batch
 	changes int // In history.
@@ -82,34 +87,56 @@
 // NewLog returns an empty log.
 func NewLog() *Log { return &Log{objects: map[string]Change{}} }
 
-// Known returns the revision up to which all changes are known, 0 before the first listing.
-func (l *Log) Known() uint64 {
+// Known returns the position up to which all changes are known, 0 before the first listing.
+func (l *Log) Known() Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.known
 }
 
-// Newest returns the revision of the newest change, 0 when no object is known. Two VMs that
-// know the same changes return the same number, whatever else happened on the platform.
-func (l *Log) Newest() uint64 {
+// Newest returns the position of the newest change, 0 when no object is known. Two VMs that
+// know the same changes return the same one, whatever else happened on the platform.
+func (l *Log) Newest() Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.newest
 }
 
-// Replace takes in a listing of all objects at revision upto. It returns the changes that
+// Replace takes in a listing of all objects at position upto. It returns the changes that
 // lead there from the objects known before, or false when the listing is behind them.
-func (l *Log) Replace(upto uint64, objects []Change) ([]Change, bool) {
+func (l *Log) Replace(upto Position, objects []Change) ([]Change, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if upto < l.known {
 		return nil, false
 	}
+	changes := l.difference(upto, objects)
+	switch {
+	case l.known == 0:
+		// Other VMs list for themselves when they start, so the first listing is no history.
+		l.take(upto, changes)
+		l.start = upto
+	case upto.Era() != l.known.Era():
+		l.beginEra(upto, objects, changes)
+	default:
+		l.append(upto, changes)
+	}
+	return changes, true
+}
+
+// difference returns the changes that lead from the known objects to those of a listing.
+func (l *Log) difference(upto Position, objects []Change) []Change {
 	var changes []Change
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.name] = true
-		if old, known := l.objects[o.name]; !known || o.revision > old.revision {
+		old, known := l.objects[o.name]
+		same := known && o.position <= old.position
+		if l.known != 0 && upto.Era() != l.known.Era() {
+			// A revision of another era does not tell whether the object is another one.
+			same = known && bytes.Equal(o.data, old.data)
+		}
+		if !same {
 			changes = append(changes, o)
 		}
 	}
@@ -118,19 +145,25 @@
 			changes = append(changes, NewRemoval(name, upto))
 		}
 	}
-	if l.known == 0 {
-		// Other VMs list for themselves when they start, so the first listing is no history.
-		l.take(upto, changes)
-		l.start = upto
-		return changes, true
+	return changes
+}
+
+// beginEra takes in the first listing of another era.
+func (l *Log) beginEra(upto Position, objects, changes []Change) {
+	l.record(batch{after: l.known, upto: upto, changes: changes})
+	clear(l.objects)
+	l.newest = upto.eraStart()
+	for _, o := range objects {
+		l.objects[o.name] = o
+		l.newest = max(l.newest, o.position)
 	}
-	l.append(upto, changes)
-	return changes, true
+	l.known = upto
 }
 
-// Append takes in all changes after a revision up to another one. It returns those that are
-// new, and false when the log lacks changes before them.
-func (l *Log) Append(after, upto uint64, changes []Change) ([]Change, bool) {
+// Append takes in all changes after a position up to another one. It returns those that are
+// new, and false when the log lacks changes before them. Changes that lead into another era
+// are taken in only after the known position, as others do not undo what was lost.
+func (l *Log) Append(after, upto Position, changes []Change) ([]Change, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if after > l.known {
@@ -139,36 +172,47 @@
 	if upto <= l.known {
 		return nil, true
 	}
+	if upto.Era() != l.known.Era() && after != l.known {
+		return nil, false
+	}
 	l.append(upto, changes)
 	return changes, true
 }
 
-// take updates the state with changes that lead to revision upto.
-func (l *Log) take(upto uint64, changes []Change) {
+// take updates the state with changes that lead to position upto.
+func (l *Log) take(upto Position, changes []Change) {
 	for _, c := range changes {
-		revision := c.revision
+		position := c.position
 		if c.removed {
-			if revision <= l.objects[c.name].revision {
+			if position <= l.objects[c.name].position {
 				// The platform repeated the revision of the object instead of that of its removal.
-				revision = upto
+				position = upto
 			}
 			delete(l.objects, c.name)
 		} else {
 			l.objects[c.name] = c
 		}
-		l.newest = max(l.newest, revision)
+		l.newest = max(l.newest, position)
+	}
+	if upto.Era() != l.known.Era() && l.known != 0 {
+		l.newest = max(l.newest, upto.eraStart())
 	}
 	l.known = upto
 }
 
-func (l *Log) append(upto uint64, changes []Change) {
+func (l *Log) append(upto Position, changes []Change) {
+	b := batch{after: l.known, upto: upto, changes: changes}
 	l.take(upto, changes)
-	if len(changes) == 0 {
-		return // The next batch covers this span as well.
+	if len(changes) > 0 || b.changesEra() { // Otherwise the next batch covers this span as well.
+		l.record(b)
 	}
-	l.history = append(l.history, batch{upto: upto, changes: changes})
-	l.changes += len(changes)
-	l.bytes += dataBytes(changes)
+}
+
+// record adds a batch to the history, and drops the oldest ones beyond its bounds.
+func (l *Log) record(b batch) {
+	l.history = append(l.history, b)
+	l.changes += len(b.changes)
+	l.bytes += dataBytes(b.changes)
 	for l.changes > maxHistoryChanges || l.bytes > maxHistoryBytes {
 		oldest := l.history[0]
 		l.history = l.history[1:]
@@ -186,10 +230,10 @@
 	return n
 }
 
-// Since returns the changes after a revision, in order, and the revision that they lead to.
-// Removals from before that revision may be among them, as platforms differ in the revision
-// that they state for these. It returns false when the history does not reach back to it.
-func (l *Log) Since(after uint64) (changes []Change, upto uint64, ok bool) {
+// Since returns the changes after a position, in order, and the position that they lead to.
+// Removals from before that position may be among them, as platforms differ in the revision
+// that they state for these. It returns false when the history does not lead on from there.
+func (l *Log) Since(after Position) (changes []Change, upto Position, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if after < l.start || l.known == 0 {
@@ -199,8 +243,11 @@
 		if b.upto <= after {
 			continue
 		}
+		if b.changesEra() && after > b.after {
+			return nil, 0, false
+		}
 		for i, c := range b.changes {
-			if c.revision > after || c.removed && !isCreatedAgain(c.name, b.changes[i+1:], after) {
+			if c.position > after || c.removed && !isCreatedAgain(c.name, b.changes[i+1:], after) {
 				changes = append(changes, c)
 			}
 		}
@@ -208,18 +255,18 @@
 	return changes, max(after, l.known), true
 }
 
-// isCreatedAgain reports whether an object exists again after its removal, up to a revision.
-func isCreatedAgain(name string, changes []Change, upto uint64) bool {
+// isCreatedAgain reports whether an object exists again after its removal, up to a position.
+func isCreatedAgain(name string, changes []Change, upto Position) bool {
 	return slices.ContainsFunc(changes, func(c Change) bool {
-		return c.name == name && !c.removed && c.revision <= upto
+		return c.name == name && !c.removed && c.position <= upto
 	})
 }
 
-// Reply returns the reply to a pull of another VM: the changes after a revision. When the
-// history does not reach back to it, the reply has all objects if complete is set, and none
+// Reply returns the reply to a pull of another VM: the changes after a position. When the
+// history does not lead on from it, the reply has all objects if complete is set, and none
 // otherwise: all objects are much to send, and a VM that reaches the platform gets what it
 // lacks there with one call.
-func (l *Log) Reply(after uint64, complete bool) *wire.Changes {
+func (l *Log) Reply(after Position, complete bool) *wire.Changes {
 	changes, upto, ok := l.Since(after)
 	if !ok {
 		if !complete {
@@ -231,11 +278,11 @@
 	if err != nil {
 		return &wire.Changes{} // The other VM reads the platform.
 	}
-	return &wire.Changes{Upto: upto, Complete: !ok, Changes: packed}
+	return &wire.Changes{Upto: uint64(upto), Complete: !ok, Changes: packed}
 }
 
-// all returns all objects and the revision up to which they are known.
-func (l *Log) all() ([]Change, uint64) {
+// all returns all objects and the position up to which they are known.
+func (l *Log) all() ([]Change, Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Collect(maps.Values(l.objects)), l.known
@@ -254,7 +301,7 @@
 func pack(changes []Change) ([]byte, error) {
 	list := &wire.ChangeList{Changes: make([]*wire.Change, 0, len(changes))}
 	for _, c := range changes {
-		list.Changes = append(list.Changes, &wire.Change{Name: c.name, Revision: c.revision, Removed: c.removed, Data: c.data})
+		list.Changes = append(list.Changes, &wire.Change{Name: c.name, Position: uint64(c.position), Removed: c.removed, Data: c.data})
 	}
 	data, err := proto.Marshal(list)
 	if err != nil {
@@ -288,7 +335,7 @@
 	}
 	out := make([]Change, 0, len(list.GetChanges()))
 	for _, c := range list.GetChanges() {
-		out = append(out, Change{name: c.GetName(), revision: c.GetRevision(), removed: c.GetRemoved(), data: c.GetData()})
+		out = append(out, Change{name: c.GetName(), position: Position(c.GetPosition()), removed: c.GetRemoved(), data: c.GetData()})
 	}
 	return out, nil
 }
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -6,15 +6,15 @@
 	"testing"
 )
 
-func change(name string, revision uint64) Change {
-	return NewChange(name, revision, []byte(fmt.Sprintf("%s@%d", name, revision)))
+func change(name string, position Position) Change {
+	return NewChange(name, position, []byte(fmt.Sprintf("%s@%d", name, position.Revision())))
 }
 
 // summary prints changes in a short form.
 func summary(changes []Change) string {
 	var out []string
 	for _, c := range changes {
-		text := fmt.Sprintf("%s@%d", c.Name(), c.Revision())
+		text := fmt.Sprintf("%s@%d", c.Name(), c.Position().Revision())
 		if c.Removed() {
 			text = "-" + text
 		}
@@ -32,9 +32,9 @@
 	l.Append(13, 20, nil)
 	l.Append(20, 25, []Change{change("b", 22)})
 	for _, c := range []struct {
-		after uint64
+		after Position
 		want  string
-		upto  uint64
+		upto  Position
 		ok    bool
 	}{
 		{9, "[]", 0, false}, // Before the first listing: what was removed until then is unknown.
@@ -112,12 +112,12 @@
 func TestReplyWithoutHistory(t *testing.T) {
 	l := NewLog()
 	l.Replace(10, []Change{change("a", 4)})
-	for i := uint64(11); i < 11+2*maxHistoryChanges; i++ {
+	for i := Position(11); i < 11+2*maxHistoryChanges; i++ {
 		l.Append(i-1, i, []Change{change("a", i)})
 	}
 	reply := l.Reply(10, true)
 	changes, err := unpack(reply.GetChanges())
-	if err != nil || !reply.GetComplete() || reply.GetUpto() != l.Known() || len(changes) != 1 {
+	if err != nil || !reply.GetComplete() || Position(reply.GetUpto()) != l.Known() || len(changes) != 1 {
 		t.Errorf("reply beyond the history: complete %v up to %d with %d changes, %v", reply.GetComplete(), reply.GetUpto(), len(changes), err)
 	}
 	if reply := l.Reply(10, false); reply.GetUpto() != 0 || len(reply.GetChanges()) != 0 {
--- a/internal/fleet/feed/fleet_test.go
+++ b/internal/fleet/feed/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,14 +34,15 @@
 	mu       sync.Mutex
 	changed  chan struct{}
 	history  []Change
-	start    uint64 // Earlier history is gone.
-	revision uint64
+	start    Position // Earlier history is gone.
+	revision Position // Of the last change.
+	away     bool     // No call gets a response.
 	calls    atomic.Int64
 }
 
 func newTestPlatform() *testPlatform { return &testPlatform{changed: make(chan struct{}), revision: 1} }
 
-func (p *testPlatform) set(name string) uint64 {
+func (p *testPlatform) set(name string) Position {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
@@ -49,23 +52,57 @@
 	return p.revision
 }
 
-func (p *testPlatform) list(context.Context, bool) ([]Change, uint64, error) {
+func (p *testPlatform) list(context.Context, bool) ([]Change, Position, error) {
 	p.calls.Add(1)
 	time.Sleep(callTime)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.away {
+		return nil, 0, errTurnedAway
+	}
+	return slices.Collect(maps.Values(p.objects())), p.revision, nil
+}
+
+// objects returns the objects that exist. The caller holds the lock.
+func (p *testPlatform) objects() map[string]Change {
 	objects := map[string]Change{}
 	for _, c := range p.history {
-		objects[c.Name()] = c
+		if c.Removed() {
+			delete(objects, c.Name())
+		} else {
+			objects[c.Name()] = c
+		}
 	}
-	var out []Change
-	for _, c := range objects {
-		out = append(out, c)
+	return objects
+}
+
+// remove removes an object.
+func (p *testPlatform) remove(name string) Position {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.history = append(p.history, NewRemoval(name, p.revision))
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.revision
+}
+
+// restore makes the platform come back, in a new era, as it was at a revision.
+func (p *testPlatform) restore(revision Position) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	era := (p.revision.Era() + 1) << revisionBits
+	p.history = slices.DeleteFunc(p.history, func(c Change) bool { return c.Position().Revision() > revision.Revision() })
+	for i, c := range p.history {
+		p.history[i].position = Position(era | c.Position().Revision())
 	}
-	return out, p.revision, nil
+	p.revision = Position(era | revision.Revision())
+	p.start = p.revision.eraStart()
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
-func (p *testPlatform) watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (p *testPlatform) watch(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
 	p.calls.Add(1)
 	time.Sleep(callTime)
 	timeout := time.After(wait)
@@ -73,13 +110,16 @@
 		p.mu.Lock()
 		var out []Change
 		for _, c := range p.history {
-			if c.Revision() > after {
+			if c.Position() > after {
 				out = append(out, c)
 			}
 		}
-		changed, revision, gone := p.changed, p.revision, after < p.start
+		changed, revision, away := p.changed, p.revision, p.away
+		gone := after < p.start || after.Era() != p.revision.Era() || after > p.revision
 		p.mu.Unlock()
 		switch {
+		case away:
+			return nil, 0, errTurnedAway
 		case gone:
 			return nil, 0, ErrHistoryGone
 		case len(out) > 0:
@@ -150,7 +190,7 @@
 				},
 			},
 			List: f.list,
-			Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+			Watch: func(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
 				if vm.turnedAway.Load() {
 					f.calls.Add(1)
 					return nil, 0, errTurnedAway
@@ -187,7 +227,7 @@
 // sendNews tells the links of the newest revision, as heartbeats do: at once when it has
 // risen, and at intervals.
 func (v *testVM) sendNews(ctx context.Context, zone, zones int, f *testFleet) {
-	told, next := uint64(0), time.Now()
+	told, next := Position(0), time.Now()
 	for ctx.Err() == nil {
 		time.Sleep(tickTime)
 		newest := v.Newest()
@@ -210,7 +250,7 @@
 }
 
 // waitUntilKnown fails when a VM that is up lacks a revision after the time limit.
-func (f *testFleet) waitUntilKnown(t *testing.T, revision uint64, limit time.Duration) {
+func (f *testFleet) waitUntilKnown(t *testing.T, revision Position, limit time.Duration) {
 	t.Helper()
 	time.Sleep(limit)
 	for _, vm := range f.vms {
@@ -312,7 +352,7 @@
 		}
 		behind.down.Store(true) // It hears of nothing.
 		behind.turnedAway.Store(true)
-		revision := uint64(0)
+		revision := Position(0)
 		for i := range 2 * maxHistoryChanges {
 			revision = f.set(fmt.Sprint("server-", i%10))
 			if i%500 == 0 {
@@ -370,10 +410,10 @@
 		p.mu.Unlock()
 		failures := 2 // Of the watch that follows the listing.
 		f := NewFollower(Options{
-			Kind: "servers", Log: zerolog.Nop(), AllowStale: true,
+			Kind: "servers", Log: zerolog.Nop(), AllowStale: func() bool { return true },
 			Fleet: Fleet{Size: func() int { return 18 }, Watchers: func() int { return 4 }, Watches: func() bool { return false }},
-			List:  func(context.Context, bool) ([]Change, uint64, error) { return stale, revision, nil },
-			Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+			List:  func(context.Context, bool) ([]Change, Position, error) { return stale, revision, nil },
+			Watch: func(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
 				if failures--; failures >= 0 {
 					return nil, 0, errTurnedAway
 				}
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -61,16 +61,17 @@
 	maxSources = 16
 )
 
-// ErrHistoryGone means that the platform has dropped the history after a revision.
-var ErrHistoryGone = errors.New("history after this revision has been dropped")
+// ErrHistoryGone means that the platform has dropped the history after a position, or has
+// begun another era since.
+var ErrHistoryGone = errors.New("history after this position is gone")
 
 // errInterrupted means that a wait was ended so that the follower looks again at once.
 var errInterrupted = errors.New("wait interrupted")
 
 // errBehind means that a listing is older than what is known.
-var errBehind = errors.New("listing is behind the known revision")
+var errBehind = errors.New("listing is behind the known position")
 
-// Peer is a VM that has told of a newer revision.
+// Peer is a VM that has told of a newer position.
 type Peer struct {
 	Addr string // "ip:port".
 	Near bool   // It is in the availability zone of this VM.
@@ -83,14 +84,15 @@
 	// Watches reports whether this VM watches the platform itself. VMs that do not pull the
 	// changes from others.
 	Watches func() bool
-	// Pull asks the VM at addr for the changes after a revision.
+	// Pull asks the VM at addr for the changes after a position.
 	Pull func(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error)
 }
 
 // Update is what one step of a follower brought.
 type Update struct {
 	Kind    string
-	Err     error // A call to the platform failed; the other fields are empty.
+	Err     error    // A call to the platform failed; the other fields are empty.
+	Upto    Position // All changes up to it are known.
 	Changes []Change
 	// Relayed says that another VM passed the changes on, so that they tell nothing about
 	// this VM's path to the platform.
@@ -104,14 +106,14 @@
 type Options struct {
 	Kind  string // Kind of the objects, as the platform names it.
 	Fleet Fleet
-	// List returns all objects and the revision of the listing. With allowStale it may be
+	// List returns all objects and the position of the listing. With allowStale it may be
 	// seconds behind, and is cheaper.
-	List func(ctx context.Context, allowStale bool) (objects []Change, upto uint64, err error)
-	// Watch returns the changes after a revision as soon as there are any, or none after
-	// wait. It returns ErrHistoryGone when the platform no longer has them.
-	Watch func(ctx context.Context, after uint64, wait time.Duration) (changes []Change, upto uint64, err error)
-	// AllowStale lets the first listing be stale.
-	AllowStale bool
+	List func(ctx context.Context, allowStale bool) (objects []Change, upto Position, err error)
+	// Watch returns the changes after a position, of the same era, as soon as there are any,
+	// or none after wait. It returns ErrHistoryGone when the platform no longer has them.
+	Watch func(ctx context.Context, after Position, wait time.Duration) (changes []Change, upto Position, err error)
+	// AllowStale reports whether the first listing may be stale; nil means that it may not.
+	AllowStale func() bool
 	// Grace returns how much longer removed objects may belong to running processes.
 	Grace func() time.Duration
 	Log   zerolog.Logger
@@ -131,25 +133,25 @@
 	mu           sync.Mutex
 	cancelWatch  context.CancelFunc // Ends the current watch; nil when there is none.
 	checkPending bool               // A check for a missed change is scheduled.
-	announced    uint64             // Newest revision that another VM has told of.
+	announced    Position           // Newest one that another VM has told of.
 	behindSince  time.Time          // Since when announced is above what this VM knows.
-	sources      map[Peer]uint64    // VMs to pull from, with the revision that each told of.
+	sources      map[Peer]Position  // VMs to pull from, with the position that each told of.
 }
 
 // NewFollower returns a follower of one kind.
 func NewFollower(o Options) *Follower {
-	return &Follower{opts: o, log: NewLog(), news: make(chan struct{}, 1), sources: map[Peer]uint64{}}
+	return &Follower{opts: o, log: NewLog(), news: make(chan struct{}, 1), sources: map[Peer]Position{}}
 }
 
 // Link makes two followers tell each other when the platform has dropped its history.
 func Link(a, b *Follower) { a.other, b.other = b, a }
 
-// Newest returns the revision of the newest known change.
-func (f *Follower) Newest() uint64 { return f.log.Newest() }
+// Newest returns the position of the newest known change.
+func (f *Follower) Newest() Position { return f.log.Newest() }
 
 // Reply returns the reply to a pull of another VM.
 func (f *Follower) Reply(pull *wire.Pull) *wire.Changes {
-	reply := f.log.Reply(pull.GetAfter(), pull.GetComplete())
+	reply := f.log.Reply(Position(pull.GetAfter()), pull.GetComplete())
 	if f.opts.Grace != nil {
 		reply.Grace = uint32(max(0, f.opts.Grace()).Milliseconds())
 	}
@@ -162,11 +164,11 @@
 	return minWatchWait + rand.N(time.Duration(f.opts.Fleet.Watchers())*watchWaitPerWatcher+time.Millisecond)
 }
 
-// ObservePeer records the newest revision that another VM knows. A VM that does not watch
+// ObservePeer records the newest position that another VM knows. A VM that does not watch
 // pulls the changes from there; one that watches and still lacks them after
 // missedChangeDelay starts its watch anew.
-func (f *Follower) ObservePeer(peer Peer, revision uint64) {
-	if revision <= f.log.Known() {
+func (f *Follower) ObservePeer(peer Peer, position Position) {
+	if position <= f.log.Known() {
 		return
 	}
 	f.mu.Lock()
@@ -174,9 +176,9 @@
 	if f.announced <= f.log.Known() {
 		f.behindSince = time.Now()
 	}
-	f.announced = max(f.announced, revision)
+	f.announced = max(f.announced, position)
 	if len(f.sources) < maxSources || f.sources[peer] != 0 {
-		f.sources[peer] = revision
+		f.sources[peer] = position
 	}
 	f.signalNews()
 	if f.checkPending {
@@ -187,9 +189,9 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.checkPending = false
-		if known := f.log.Known(); revision > known && f.cancelWatch != nil {
-			f.opts.Log.Info().Str("kind", f.opts.Kind).Uint64("revision", revision).Uint64("known", known).
-				Msg("another VM knows a newer revision; restarting the watch")
+		if known := f.log.Known(); position > known && f.cancelWatch != nil {
+			f.opts.Log.Info().Str("kind", f.opts.Kind).Stringer("position", position).Stringer("known", known).
+				Msg("another VM knows a newer position; restarting the watch")
 			f.cancelWatch()
 		}
 	})
@@ -200,14 +202,14 @@
 func (f *Follower) Run(ctx context.Context, updates chan<- Update) error {
 	listing := limit.NewBackoff(minBackoff, maxBackoff, rand.Uint64())
 	following := limit.NewBackoff(minBackoff, maxWatcherBackoff, rand.Uint64())
-	listed, allowStale := false, f.opts.AllowStale
+	listed, allowStale := false, f.opts.AllowStale != nil
 	for ctx.Err() == nil {
 		u, err := f.step(ctx, listed, allowStale)
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, ErrHistoryGone):
-			f.opts.Log.Info().Str("kind", f.opts.Kind).Uint64("revision", f.log.Known()).Msg("platform dropped its history; listing all objects")
+			f.opts.Log.Info().Str("kind", f.opts.Kind).Stringer("known", f.log.Known()).Msg("platform dropped its history; listing all objects")
 			listed, allowStale = false, false
 			if f.other != nil {
 				f.other.interruptWatch()
@@ -240,7 +242,7 @@
 }
 
 // pause waits before the next step: after a failure, until another VM knows a newer
-// revision at the latest, and after changes, so that changes in quick succession are taken
+// position at the latest, and after changes, so that changes in quick succession are taken
 // together.
 func (f *Follower) pause(ctx context.Context, u Update, backoff *limit.Backoff) {
 	var delay time.Duration
@@ -294,6 +296,7 @@
 // list takes in a listing of all objects. A stale one is brought up to date before anything
 // uses it: a VM that restarts must not send requests to servers that have left since.
 func (f *Follower) list(ctx context.Context, allowStale bool) (Update, error) {
+	allowStale = allowStale && f.opts.AllowStale()
 	objects, upto, err := f.opts.List(ctx, allowStale)
 	if err != nil {
 		return Update{}, err
@@ -305,28 +308,17 @@
 			return Update{}, err
 		}
 	}
+	known := f.log.Known()
 	changes, ok := f.log.Replace(upto, objects)
 	if !ok {
-		f.opts.Log.Warn().Str("kind", f.opts.Kind).Uint64("revision", upto).Uint64("known", f.log.Known()).
-			Msg("listing of the platform is behind the known revision; not taking it")
-		return Update{}, errors.Wrapf(errBehind, "revision %d", upto)
+		f.opts.Log.Warn().Str("kind", f.opts.Kind).Stringer("position", upto).Stringer("known", known).
+			Msg("listing of the platform is behind the known position; not taking it")
+		return Update{}, errors.Wrapf(errBehind, "position %v", upto)
 	}
-	f.logUnchanged(objects, changes)
+	f.opts.Log.Info().Str("kind", f.opts.Kind).Stringer("position", upto).Stringer("known", known).
+		Int("objects", len(objects)).Int("changes", len(changes)).Msg("listing of the platform taken")
 	missed, _ = f.log.Append(upto, newest, missed)
-	return Update{Changes: append(changes, missed...)}, nil
-}
-
-// logUnchanged logs how many objects of a listing are not among its changes, as they were
-// written at revisions that are not above the known ones.
-func (f *Follower) logUnchanged(objects, changes []Change) {
-	changed := 0
-	for _, c := range changes {
-		if !c.Removed() {
-			changed++
-		}
-	}
-	f.opts.Log.Info().Str("kind", f.opts.Kind).Int("objects", len(objects)).Int("changed", changed).
-		Uint64("known", f.log.Known()).Msg("listing of the platform taken")
+	return Update{Upto: newest, Changes: append(changes, missed...)}, nil
 }
 
 // watch waits for changes. It returns errInterrupted when cancelWatch ends the wait.
@@ -344,7 +336,7 @@
 		return Update{}, err
 	}
 	changes, _ = f.log.Append(after, upto, changes)
-	return Update{Changes: changes}, nil
+	return Update{Upto: upto, Changes: changes}, nil
 }
 
 func (f *Follower) setCancelWatch(cancel context.CancelFunc) {
@@ -362,7 +354,7 @@
 	}
 }
 
-// awaitNews waits until another VM tells of a newer revision, or for d.
+// awaitNews waits until another VM tells of a newer position, or for d.
 func (f *Follower) awaitNews(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -375,7 +367,7 @@
 	return errInterrupted
 }
 
-// isBehind reports whether another VM has told of a revision that this one lacks.
+// isBehind reports whether another VM has told of a position that this one lacks.
 func (f *Follower) isBehind() bool {
 	known := f.log.Known()
 	f.mu.Lock()
@@ -411,9 +403,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	behindFor := now.Sub(f.behindSince)
-	for p, revision := range f.sources {
+	for p, position := range f.sources {
 		switch {
-		case revision <= f.log.Known():
+		case position <= f.log.Known():
 			delete(f.sources, p)
 		case p.Near:
 			delete(f.sources, p)
@@ -445,21 +437,32 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	after := f.log.Known()
-	reply, err := f.opts.Fleet.Pull(ctx, peer.Addr, &wire.Pull{Feed: f.opts.Kind, After: after, Complete: f.turnedAway})
+	// What was lost between two eras can be more than the other VM can tell as changes. All
+	// objects are then still less than a call of each VM to a platform that has just come back.
+	complete := f.turnedAway || f.announcedEra() != after.Era()
+	reply, err := f.opts.Fleet.Pull(ctx, peer.Addr, &wire.Pull{Feed: f.opts.Kind, After: uint64(after), Complete: complete})
 	if err != nil {
 		return Update{}, err
 	}
-	if reply.GetUpto() <= after {
-		return Update{}, errors.Newf("its revision %d is not above %d", reply.GetUpto(), after)
+	upto := Position(reply.GetUpto())
+	if upto <= after {
+		return Update{}, errors.Newf("its position %v is not above %v", upto, after)
 	}
 	changes, err := unpack(reply.GetChanges())
 	if err != nil {
 		return Update{}, err
 	}
 	if reply.GetComplete() {
-		changes, _ = f.log.Replace(reply.GetUpto(), changes)
+		changes, _ = f.log.Replace(upto, changes)
 	} else {
-		changes, _ = f.log.Append(after, reply.GetUpto(), changes)
+		changes, _ = f.log.Append(after, upto, changes)
 	}
-	return Update{Changes: changes, Relayed: true, Grace: time.Duration(reply.GetGrace()) * time.Millisecond}, nil
+	return Update{Upto: upto, Changes: changes, Relayed: true, Grace: time.Duration(reply.GetGrace()) * time.Millisecond}, nil
+}
+
+// announcedEra returns the newest era that another VM has told of.
+func (f *Follower) announcedEra() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.announced.Era()
 }
