roster, platform: servers and configuration keep what a restored store has lost

After the store came back from a copy, callers could be sent to servers that had left meanwhile, servers that had registered meanwhile were dropped, and a VM that started then served an older configuration than all others.

Cause: an entry that a copy has counted as a new one, one that it lacks as removed, although neither says anything about the server.

Change: internal/fleet/roster, in place of maps in platform/source.go, orders the states of a server by the server's own numbers, remembers servers that have left, and keeps those whose entries are missing for the time that the platform needs after an outage. A state from before a departure counts again once the entry has outlived the time in which it would have lapsed (platform.beat). A VM that lists a restored store asks up to three others for corrections: what they know in a later state than the store.

Evidence: TestServersAfterRestore and TestStartAfterRestore fail on (a server that had left is used, one that runs is not; no release with version 11). TestRosterFollowsRestoresInAnyOrder tries all orders of seven steps of one server; a first version compared sequence numbers and failed there, as a VM need not have seen the last one.

--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -98,6 +98,7 @@
 		Size:     func() int { return vm.FleetSize() },
 		Watchers: func() int { return vm.Watchers() },
 		Watches:  func() bool { return vm.WatchesPlatform() },
+		Peers:    func() []feed.Peer { return vm.Peers() },
 		Pull: func(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
 			return vm.Pull(ctx, addr, pull)
 		},
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -62,6 +62,9 @@
 	// ReregistrationGrace is how long after an outage of the platform the entries of
 	// running backend servers may still be missing.
 	ReregistrationGrace note.Duration `json:"return"`
+	// Heartbeat is how often backend servers renew their entries. The platform removes an
+	// entry after three such intervals of silence.
+	Heartbeat note.Duration `json:"beat"`
 }
 
 // OptionalListener configures a listener that is off when Addr is empty.
@@ -145,6 +148,7 @@
 			RetryRatio:          0.1,
 			Floor:               0.5,
 			ReregistrationGrace: note.Duration(2 * time.Second),
+			Heartbeat:           note.Duration(1500 * time.Millisecond),
 		},
 		Peer: Peer{FullMeshMaxVMs: 24},
 		Drain: Drain{
@@ -222,6 +226,7 @@
 		ps.Add("platform.slack", p.FleetRetryBurst, "0 to %d", maxFleetRetryBurst)
 	}
 	checkDuration(ps, "platform.return", p.ReregistrationGrace)
+	checkDuration(ps, "platform.beat", p.Heartbeat)
 }
 
 func checkName(ps *strict.Problems, path, name string) {
--- a/conf/template_test.go
+++ b/conf/template_test.go
@@ -16,7 +16,7 @@
 "node":"edge-1","zone":"north-b","ip":"10.0.0.1",
 "listen":{"front":"10.0.0.1:8144","ready":"10.0.0.1:8140","control":"10.0.0.1:8146","directory":"10.0.0.1:8143"},
 "internal-ports":[7660,7675],"seeds":["10.0.0.1:8146","10.0.0.2:8146"],"zones":{"north-a":"north","north-b":"north"},
-"platform":{"address":"10.9.0.1:8142"},
+"platform":{"address":"10.9.0.1:8142"},"heartbeat":"1500ms",
 "bounds":{"retry-budget-ratio":%s,"retry-budget-slack":%s,"floor-share":%s,"grace":%q}}`
 
 var (
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/azuredeal/azuredeal/board"
@@ -230,6 +231,13 @@
 // Watchers returns the number of VMs that watch the platform for changes.
 func (v *VM) Watchers() int { return int(v.watchers.Load()) }
 
+// Peers returns the other VMs that this VM considers alive.
+func (v *VM) Peers() []feed.Peer {
+	return lo.FilterMap(component[*member.Driver](v).Snapshot().Alive(), func(m member.Member, _ int) (feed.Peer, bool) {
+		return feed.Peer{Addr: m.Peer(), Near: m.Zone() == v.settings.Zone}, m.ID() != v.settings.Name
+	})
+}
+
 // Pull asks the VM at the peer address for changes. Errors are those of peer.Peer.Pull.
 func (v *VM) Pull(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
 	return component[*peer.Peer](v).Pull(ctx, addr, pull)
--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"context"
 	"io"
 	"maps"
 	"slices"
@@ -41,6 +42,11 @@
 	return Change{name: name, position: position, removed: true}
 }
 
+// NewDeparture returns the change that removed an object, with the object as it was at last.
+func NewDeparture(name string, position Position, data []byte) Change {
+	return Change{name: name, position: position, removed: true, data: data}
+}
+
 // Name returns the name of the object.
 func (c Change) Name() string { return c.name }
 
@@ -50,7 +56,8 @@
 // Removed reports whether the change removed the object.
 func (c Change) Removed() bool { return c.removed }
 
-// Data returns the object as the platform encodes it, nil after a removal.
+// Data returns the object as the platform encodes it. After a removal it is that of a
+// departure, and nil otherwise.
 func (c Change) Data() []byte { return c.data }
 
 // batch holds all changes after one position up to another.
@@ -288,6 +295,27 @@
 	return slices.Collect(maps.Values(l.objects)), l.known
 }
 
+// CorrectionsReply returns the reply to a pull of corrections: changes that the platform's
+// store lacks, as it has come back from a copy.
+func CorrectionsReply(changes []Change) *wire.Changes {
+	packed, err := pack(changes)
+	if err != nil {
+		return &wire.Changes{} // The other VM asks a third one, or waits for the store.
+	}
+	return &wire.Changes{Changes: packed}
+}
+
+// PullCorrections asks the VM at addr for its corrections of a kind.
+func PullCorrections(ctx context.Context, fleet Fleet, addr, kind string) ([]Change, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	reply, err := fleet.Pull(ctx, addr, &wire.Pull{Feed: kind, Corrections: true})
+	if err != nil {
+		return nil, err
+	}
+	return unpack(reply.GetChanges())
+}
+
 // maxUnpackedBytes bounds the changes of one reply.
 const maxUnpackedBytes = 16 << 20
 
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -84,6 +84,8 @@
 	// Watches reports whether this VM watches the platform itself. VMs that do not pull the
 	// changes from others.
 	Watches func() bool
+	// Peers returns the other VMs that this one is linked with. Nil means none.
+	Peers func() []Peer
 	// Pull asks the VM at addr for the changes after a position.
 	Pull func(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error)
 }
@@ -94,6 +96,7 @@
 	Err     error    // A call to the platform failed; the other fields are empty.
 	Upto    Position // All changes up to it are known.
 	Changes []Change
+	Listed  bool // The changes lead to a listing of all objects.
 	// Relayed says that another VM passed the changes on, so that they tell nothing about
 	// this VM's path to the platform.
 	Relayed bool
@@ -318,7 +321,7 @@
 	f.opts.Log.Info().Str("kind", f.opts.Kind).Stringer("position", upto).Stringer("known", known).
 		Int("objects", len(objects)).Int("changes", len(changes)).Msg("listing of the platform taken")
 	missed, _ = f.log.Append(upto, newest, missed)
-	return Update{Upto: newest, Changes: append(changes, missed...)}, nil
+	return Update{Upto: newest, Changes: append(changes, missed...), Listed: true}, nil
 }
 
 // watch waits for changes. It returns errInterrupted when cancelWatch ends the wait.
@@ -457,7 +460,7 @@
 	} else {
 		changes, _ = f.log.Append(after, upto, changes)
 	}
-	return Update{Upto: upto, Changes: changes, Relayed: true, Grace: time.Duration(reply.GetGrace()) * time.Millisecond}, nil
+	return Update{Upto: upto, Changes: changes, Listed: reply.GetComplete(), Relayed: true, Grace: time.Duration(reply.GetGrace()) * time.Millisecond}, nil
 }
 
 // announcedEra returns the newest era that another VM has told of.
