platform, peer: a VM writes again what a restored store has lost of it

VMs that registered in a span that the store lost could not be found by later ones, and a VM that started after the store had lost the secret of the links created another one, with which it could never join the fleet.

Cause: both were written once and taken for kept.

Change: with each list of VMs that it reads anyway, a VM registers again if it is missing there; the few VMs that watch the store, and those that see less than half of the listed VMs, compare the stored secret with theirs.

--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -84,7 +84,12 @@
 	hardCtx context.Context, file settingsFile, settings conf.Settings, log zerolog.Logger, signals <-chan os.Signal, hardStop func(),
 ) error {
 	client := platform.NewClient(settings.Platform.URL, log)
-	registry := platform.NewRegistry(client, log)
+	var vm *entry.VM
+	registry := platform.NewRegistry(client, platform.Fleet{
+		Watches:   func() bool { return vm.WatchesPlatform() },
+		Alive:     func() int { return vm.Alive() },
+		SetSecret: func(secret string) error { return vm.SetPeerSecret(secret) },
+	}, log)
 	joinCtx, cancelJoin := context.WithCancel(hardCtx)
 	go runOnSignals(joinCtx, signals, cancelJoin)
 	secret, incarnation, err := registry.Join(joinCtx, settings)
@@ -93,7 +98,6 @@
 	}
 	cancelJoin()
 	settings.Peer.Secret = secret
-	var vm *entry.VM
 	releaseSource := platform.NewReleaseSource(client, settings.Platform, feed.Fleet{
 		Size:     func() int { return vm.FleetSize() },
 		Watchers: func() int { return vm.Watchers() },
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -231,6 +231,12 @@
 // Watchers returns the number of VMs that watch the platform for changes.
 func (v *VM) Watchers() int { return int(v.watchers.Load()) }
 
+// SetPeerSecret replaces the secret that the VMs of the fleet share. Errors are those of
+// peer.Peer.SetSharedKey.
+func (v *VM) SetPeerSecret(secret string) error {
+	return component[*peer.Peer](v).SetSharedKey([]byte(secret))
+}
+
 // Peers returns the other VMs that this VM considers alive.
 func (v *VM) Peers() []feed.Peer {
 	return lo.FilterMap(component[*member.Driver](v).Snapshot().Alive(), func(m member.Member, _ int) (feed.Peer, bool) {
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/big"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
@@ -35,7 +36,7 @@
 type authenticator struct {
 	clientConfig *tls.Config
 	serverConfig *tls.Config
-	sharedKey    []byte // Nil with mutual TLS.
+	sharedKey    atomic.Pointer[[]byte] // Nil with mutual TLS.
 }
 
 func newAuthenticator(o Options) (*authenticator, error) {
@@ -54,7 +55,9 @@
 	// material authenticates the peer; a man in the middle has two TLS sessions with
 	// different keying material.
 	config.InsecureSkipVerify = true
-	return &authenticator{clientConfig: config, serverConfig: config, sharedKey: o.SharedKey}, nil
+	a := &authenticator{clientConfig: config, serverConfig: config}
+	a.sharedKey.Store(&o.SharedKey)
+	return a, nil
 }
 
 func baseConfig(cert tls.Certificate) *tls.Config {
@@ -144,7 +147,7 @@
 	if cs.NegotiatedProtocol != alpnProtocol {
 		return fault.New(fault.Unauthorized, "the peer negotiated ALPN protocol %q", cs.NegotiatedProtocol)
 	}
-	if a.sharedKey != nil {
+	if a.sharedKey.Load() != nil {
 		material, err := cs.ExportKeyingMaterial(exporterLabel, nil, sha256.Size)
 		if err != nil {
 			return fault.Wrap(fault.Unauthorized, err, "export keying material")
@@ -159,7 +162,7 @@
 // proof returns the HMAC that proves possession of the shared key. The label differs
 // by direction, so a proof cannot be reflected to the peer that made it.
 func (a *authenticator) proof(label string, material []byte) []byte {
-	mac := hmac.New(sha256.New, a.sharedKey)
+	mac := hmac.New(sha256.New, *a.sharedKey.Load())
 	mac.Write([]byte(label))
 	mac.Write(material)
 	return mac.Sum(nil)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -89,6 +89,20 @@
 	links      map[string][]*Link // By peer address, newest last.
 }
 
+// SetSharedKey replaces the key that all VMs of the fleet share. It applies to connections
+// that begin later; those that are up stay. The error is fault.Invalid if the key is too short
+// or the VMs authenticate by mutual TLS.
+func (p *Peer) SetSharedKey(key []byte) error {
+	if p.authenticator.sharedKey.Load() == nil {
+		return fault.New(fault.Invalid, "the VMs share no key")
+	}
+	if len(key) < minSharedKeyBytes {
+		return fault.New(fault.Invalid, "the shared key has %d bytes, at least %d are needed", len(key), minSharedKeyBytes)
+	}
+	p.authenticator.sharedKey.Store(&key)
+	return nil
+}
+
 // New returns a Peer. The error is fault.Invalid if the shared key is too short, the
 // certificates are unusable or Self is nil.
 func New(o Options) (*Peer, error) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -185,7 +185,8 @@
 	runSynctest(t, func(t *testing.T) {
 		network := newPipeNetwork()
 		network.start(t, "a", nil)
-		g := &authenticator{sharedKey: testKey}
+		g := &authenticator{}
+		g.sharedKey.Store(&testKey)
 		first, second := dialTLS(t, network, "a"), dialTLS(t, network, "a")
 		cs := first.ConnectionState()
 		material, err := cs.ExportKeyingMaterial(exporterLabel, nil, 32)
@@ -586,3 +587,34 @@
 		}
 	})
 }
+
+// Guards against a VM that cannot link with any other after the fleet's key has been replaced,
+// and against the former key that still opens links.
+func TestSetSharedKey(t *testing.T) {
+	runSynctest(t, func(t *testing.T) {
+		network := newPipeNetwork()
+		other := []byte("fedcba9876543210fedcba9876543210")
+		a := network.start(t, "a", func(o *Options) { o.SharedKey = other })
+		network.start(t, "b", nil)
+		if _, err := a.Link(t.Context(), "b"); err == nil {
+			t.Error("linked with another key")
+		}
+		if err := a.SetSharedKey(testKey[:minSharedKeyBytes-1]); fault.KindOf(err) != fault.Invalid {
+			t.Errorf("short key: %v", err)
+		}
+		if err := a.SetSharedKey(testKey); err != nil {
+			t.Fatal(err)
+		}
+		l, err := a.Link(t.Context(), "b")
+		if err != nil {
+			t.Fatalf("with the key of the other: %v", err)
+		}
+		l.Close()
+		if err := a.SetSharedKey(other); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := a.Link(t.Context(), "b"); err == nil {
+			t.Error("linked with a key that has been replaced")
+		}
+	})
+}
