platform: metrics of eras, restores and what was done with entries

azuredeal_platform_era, azuredeal_platform_restores_total, azuredeal_platform_corrections_total and azuredeal_platform_entries_total by effect. No change of logic.

--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -98,6 +99,7 @@
 	}
 	cancelJoin()
 	settings.Peer.Secret = secret
+	counters := metrics.NewSet()
 	releaseSource := platform.NewReleaseSource(client, settings.Platform, feed.Fleet{
 		Size:     func() int { return vm.FleetSize() },
 		Watchers: func() int { return vm.Watchers() },
@@ -106,7 +108,7 @@
 		Pull: func(ctx context.Context, addr string, pull *wire.Pull) (*wire.Changes, error) {
 			return vm.Pull(ctx, addr, pull)
 		},
-	}, log)
+	}, counters, log)
 	vm, err = entry.New(hardCtx, settings, entry.Options{
 		Log:                  log,
 		Dialect:              platform.Dialect(),
@@ -116,6 +118,7 @@
 		ServePull:            releaseSource.ServePull,
 		DiscoverVMs:          registry.ListVMs,
 		Incarnation:          incarnation,
+		Metrics:              counters,
 	})
 	if err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,8 @@
 	// Incarnation identifies this start of the VM and must be higher than at all earlier
 	// ones; 0 derives it from the current time.
 	Incarnation uint64
+	// Metrics is the set that the VM adds its metrics to and serves; nil creates one.
+	Metrics *metrics.Set
 }
 
 // VM is one entry VM.
@@ -115,7 +117,10 @@
 	if err := v.listen(); err != nil {
 		return nil, err
 	}
-	counters := metrics.NewSet()
+	counters := opts.Metrics
+	if counters == nil {
+		counters = metrics.NewSet()
+	}
 	v.health = newMonitor(v.log, counters, v.incarnation)
 	v.rates = newRates(v.log, counters, settings.Name, v.incarnation)
 	v.assemble(ctx, counters)
--- a/internal/fleet/roster/effect_string.go
+++ b/internal/fleet/roster/effect_string.go
@@ -14,11 +14,14 @@
 	_ = x[Outdated-3]
 	_ = x[Kept-4]
 	_ = x[Left-5]
+	_ = x[Expired-6]
+	_ = x[Returned-7]
+	_ = x[EffectCount-8]
 }
 
-const _Effect_name = "NoneChangedRemovedOutdatedKeptLeft"
+const _Effect_name = "NoneChangedRemovedOutdatedKeptLeftExpiredReturnedEffectCount"
 
-var _Effect_index = [...]uint8{0, 4, 11, 18, 26, 30, 34}
+var _Effect_index = [...]uint8{0, 4, 11, 18, 26, 30, 34, 41, 49, 60}
 
 func (i Effect) String() string {
 	idx := int(i) - 0
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -132,6 +132,14 @@
 	Kept
 	// Left means that the change was ignored, as the server has left since that state.
 	Left
+	// Expired means that the entry is missing beyond the grace period and the server is not
+	// used any more.
+	Expired
+	// Returned means that a server that had left is used again, as its entry has outlived the
+	// time in which it would have lapsed.
+	Returned
+	// EffectCount is the number of effects.
+	EffectCount
 )
 
 // Len returns the number of servers.
