store, idem, deploy: the own object API states eras, and what it loses stays safe

When the platform of the object API came back from a copy, a request with a caller's own key ran a second time if its claim was lost, conditional writes held by chance in the new era, and notes were accepted that no VM ever applied, as they followed a release older than the one in effect.

Cause: as with the metadata store, versions and acknowledged writes were taken for kept.

Change: store.Version holds the era with the number, and the era is part of each write's condition. Until all claims that may be lost have expired, keys without a stored claim are answered ClaimFailed, ran unknown; the time at which an era was first seen is stored for VMs that start later. A publisher, and a VM that watches, writes the applied release again before anything follows an older one. objapi and standin platform restore from copies (--restore, /control/).

Evidence: on the code before, TestClaimLostInRestore claims a key that has run at another VM, and TestAtMostOneRun, which restores now, finds two runs of one key. TestReleaseLostInRestore, TestRestore and TestUnusableEra are new. TestGenerationOnlyGrows made up version 1<<40, which is now the number 0 of another era; it uses a number of that era instead.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/azuredeal/azuredeal/objapi"
+	"github.com/azuredeal/azuredeal/sleep"
 	"github.com/azuredeal/azuredeal/store"
 	"github.com/azuredeal/azuredeal/worker"
 )
@@ -33,15 +34,35 @@
 	Lost    int    `help:"Lose the answer of one in this many writes; 0 loses none." default:"0"`
 	Seed    uint64 `help:"Seed of the lost answers." default:"1"`
 	Conns   int    `help:"Connections." default:"4000"`
+	// Restore is a time span, as a copy is made halfway between two restores.
+	Restore time.Duration `help:"Come back from a copy at this interval, each time without the writes of its second half; 0s never does." default:"0s"`
 }
 
 // Run serves until SIGINT or SIGTERM.
 func (c *platformCommand) Run(ctx context.Context, log zerolog.Logger) error {
 	server := objapi.New(store.NewMemory())
 	server.SetFaults(objapi.Faults{Latency: c.Latency, Outage: c.Outage, Lost: c.Lost, Seed: c.Seed})
+	if c.Restore > 0 {
+		go c.restore(ctx, log, server)
+	}
 	return serve(ctx, log, c.Addr, c.Conns, server)
 }
 
+// restore makes the platform come back from copies until ctx ends.
+func (c *platformCommand) restore(ctx context.Context, log zerolog.Logger, server *objapi.Server) {
+	for {
+		if !sleep.For(ctx, c.Restore/2) {
+			return
+		}
+		server.Copy()
+		if !sleep.For(ctx, c.Restore/2) {
+			return
+		}
+		server.Restore()
+		log.Info().Uint64("era", server.Era()).Msg("came back from a copy")
+	}
+}
+
 type workerCommand struct {
 	Addr   string        `help:"Address to serve on, ip:port." default:"127.0.0.1:0"`
 	Name   string        `help:"Name in answers." default:"worker"`
--- a/deploy/follower.go
+++ b/deploy/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/azuredeal/azuredeal/note"
+	"github.com/azuredeal/azuredeal/sleep"
 	"github.com/azuredeal/azuredeal/store"
 )
 
@@ -36,6 +37,9 @@
 	// Rand returns numbers in [0, 1) for jitter and the choice of peers. Several
 	// goroutines call it.
 	Rand func() float64
+	// Rewrite writes the applied release to the platform again. It is called on a VM that
+	// watches when the platform has an older release; nil is allowed. See Publisher.Follow.
+	Rewrite func(ctx context.Context) error
 
 	client  *store.Client
 	current atomic.Pointer[appliedRelease]
@@ -141,6 +145,9 @@
 			if err = f.applyNewer(ctx, h, "platform", f.orderSources(h, watch)...); err != nil {
 				f.counts.failed.Add(1)
 			}
+			if err == nil && watch && f.Rewrite != nil && h.generation < f.Generation() {
+				f.rewrite(ctx)
+			}
 		}
 		if err != nil {
 			retry.maxDelay = platformBackoffMax
@@ -164,6 +171,22 @@
 	}
 }
 
+// rewriteDelay is the longest random delay before a VM writes again a release that the
+// platform has lost. Most of the watchers then find that another one has done so.
+const rewriteDelay = 2 * time.Second
+
+// rewrite writes the applied release again, as the platform has come back from a copy.
+func (f *Follower) rewrite(ctx context.Context) {
+	if !sleep.For(ctx, time.Duration(f.Rand()*float64(rewriteDelay))) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if err := f.Rewrite(ctx); err != nil {
+		f.counts.failed.Add(1) // The next read of head tries again.
+	}
+}
+
 // waitOrModeChange waits for d, but returns early when watchChanged is closed or
 // the context ends.
 func (f *Follower) waitOrModeChange(ctx context.Context, d time.Duration, watchChanged <-chan struct{}) {
--- a/deploy/follower_test.go
+++ b/deploy/follower_test.go
@@ -81,7 +81,7 @@
 		restored := tf.p.client()
 		restored.Get = func(ctx context.Context, name string) (store.Object, error) {
 			if data := servedHead.Load(); isHead(name) && data != nil {
-				return store.Object{Value: *data, Version: 1 << 40}, nil
+				return store.Object{Value: *data, Version: must(store.NewVersion(2, 1))}, nil
 			}
 			return memory.Get(ctx, name)
 		}
@@ -363,3 +363,34 @@
 		}
 	}
 }
+
+// Guards against releases that are accepted and never take effect, because the platform came
+// back from a copy with an older one, and against notes that are then refused although they
+// are written against the release in effect.
+func TestReleaseLostInRestore(t *testing.T) {
+	simulate(t, 20, func(tf *testFleet) {
+		vm := tf.startVM("vm", tf.p.client(), tf.pub.Follow)
+		vm.SetWatch(true)
+		tf.startVM("other", tf.p.client(), newPublisher(tf.p, 5).Follow).SetWatch(true)
+		tf.waitForGeneration(1, time.Second)
+		tf.p.Copy()
+		tf.publish(addRouteNote(0, 1))
+		tf.publish(addRouteNote(1, 2))
+		tf.waitForGeneration(3, 5*time.Second)
+		tf.p.Restore()
+		writes := tf.p.count("write")
+		if got := tf.publish(addRouteNote(2, 3)); got != 4 {
+			t.Errorf("the next note became generation %d", got)
+		}
+		tf.waitForGeneration(4, 5*time.Second)
+
+		tf.p.Restore() // Nobody publishes after this.
+		time.Sleep(15 * time.Second)
+		if got := tf.loadableGeneration(); got != 4 {
+			t.Errorf("a VM that starts gets generation %d", got)
+		}
+		if got := tf.p.count("write") - writes; got > 4*vm.Dump().Chunks {
+			t.Errorf("%d writes for two restores of %d chunks", got, vm.Dump().Chunks)
+		}
+	})
+}
--- a/deploy/garbage.go
+++ b/deploy/garbage.go
@@ -104,7 +104,7 @@
 		return o, nil, err
 	}
 	var marks []mark
-	if o.Version != 0 && json.Unmarshal(o.Value, &marks) != nil {
+	if o.Version.Exists() && json.Unmarshal(o.Value, &marks) != nil {
 		marks = nil // The next run marks the objects again; a damaged list must not stop garbage collection.
 	}
 	return o, marks, nil
@@ -117,7 +117,7 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "marks")
 	}
-	if string(data) == string(o.Value) || (o.Version == 0 && len(marks) == 0) {
+	if string(data) == string(o.Value) || (!o.Version.Exists() && len(marks) == 0) {
 		return nil
 	}
 	_, err = c.client.Put(ctx, garbageName, data, o.Version)
--- a/deploy/head.go
+++ b/deploy/head.go
@@ -73,8 +73,8 @@
 // headFromObject decodes the head in an object of the platform and keeps the
 // version. For an object that does not exist it returns a head of generation 0.
 func headFromObject(o store.Object) (*head, error) {
-	if o.Version == 0 {
-		return &head{}, nil
+	if !o.Version.Exists() {
+		return &head{version: o.Version}, nil
 	}
 	h, err := parseHead(o.Value)
 	if err != nil {
--- a/deploy/load.go
+++ b/deploy/load.go
@@ -131,7 +131,7 @@
 		for _, d := range want {
 			group.Go(func() error {
 				o, err := client.Get(ctx, prefix+d.String())
-				if err == nil && o.Version != 0 {
+				if err == nil && o.Version.Exists() {
 					add(o.Value)
 				}
 				return err
--- a/deploy/metrics.go
+++ b/deploy/metrics.go
@@ -28,6 +28,7 @@
 		"objects":    func(s PublishStats) uint64 { return s.Objects },
 		"bytes":      func(s PublishStats) uint64 { return s.Bytes },
 		"collected":  func(s PublishStats) uint64 { return s.Collected },
+		"rewritten":  func(s PublishStats) uint64 { return s.Rewritten },
 	} {
 		set.NewGauge("azuredeal_publish_"+name+"_total", func() float64 { return float64(read(p.Stats())) })
 	}
--- a/deploy/publish.go
+++ b/deploy/publish.go
@@ -60,6 +60,7 @@
 	Rand func() float64
 
 	client      *store.Client
+	applied     func() *appliedRelease // Nil without a follower.
 	mu          sync.Mutex
 	lastRelease *note.Release // The last release that this publisher loaded or committed.
 	counts      publishCounts
@@ -75,10 +76,11 @@
 	Objects         uint64 `json:"objects"`    // Chunks and manifests written.
 	Bytes           uint64 `json:"bytes"`      // Total size of these objects.
 	Collected       uint64 `json:"collected"`  // Objects deleted because no release refers to them.
+	Rewritten       uint64 `json:"rewritten"`  // Releases written again after the platform had lost them.
 }
 
 type publishCounts struct {
-	accepted, duplicates, refused, resolvedCommits, objects, bytes, collected atomic.Uint64
+	accepted, duplicates, refused, resolvedCommits, objects, bytes, collected, rewritten atomic.Uint64
 }
 
 // NewPublisher returns a publisher that writes through client.
@@ -97,6 +99,7 @@
 		Objects:         p.counts.objects.Load(),
 		Bytes:           p.counts.bytes.Load(),
 		Collected:       p.counts.collected.Load(),
+		Rewritten:       p.counts.rewritten.Load(),
 	}
 }
 
@@ -125,7 +128,7 @@
 
 // publish implements Publish without the lock and the count of refused notes.
 func (p *Publisher) publish(ctx context.Context, n *note.Note, digest note.Digest) (uint64, error) {
-	oldHead, err := readHead(ctx, p.client)
+	oldHead, err := p.currentHead(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -164,6 +167,51 @@
 	return generation, nil
 }
 
+// Follow makes the publisher and the follower of a VM work together: the publisher uses and
+// returns releases that the follower applies, and writes them again when the platform, which
+// has come back from a copy, has an older one.
+func (p *Publisher) Follow(f *Follower) {
+	p.CachedRelease, p.OnCommit = f.Release, f.ApplyCommitted
+	p.applied = f.current.Load
+	f.Rewrite = func(ctx context.Context) error {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		_, err := p.currentHead(ctx)
+		return err
+	}
+}
+
+// currentHead reads head. When the platform has an older one than the applied release, it has
+// lost what it had accepted; the applied release is then written again, as releases that
+// follow the older one would never take effect.
+func (p *Publisher) currentHead(ctx context.Context) (*head, error) {
+	h, err := readHead(ctx, p.client)
+	if err != nil || p.applied == nil {
+		return h, err
+	}
+	a := p.applied()
+	if a == nil || a.head.generation <= h.generation {
+		return h, nil
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(maxParallelObjects)
+	for _, c := range a.encoded.Chunks() {
+		group.Go(func() error { return p.rewriteObject(groupCtx, chunkPrefix, c) })
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	if err := p.rewriteObject(ctx, manifestPrefix, a.encoded.Manifest()); err != nil {
+		return nil, err
+	}
+	version, err := p.client.Put(ctx, headName, a.head.data, h.version)
+	if err != nil {
+		return nil, err
+	}
+	p.counts.rewritten.Add(1)
+	return headFromObject(store.Object{Value: a.head.data, Version: version})
+}
+
 // findDuplicate returns the generation that accepted the note already, or 0 if
 // head has no record of it. It fails if the id was accepted with other content.
 func (p *Publisher) findDuplicate(h *head, id string, digest note.Digest) (uint64, error) {
@@ -227,9 +275,22 @@
 // already may be marked as garbage, so it is written again: the new version keeps
 // a collector from deleting it.
 func (p *Publisher) writeObject(ctx context.Context, prefix string, c note.Chunk) error {
-	retry := backoff{minDelay: writeBackoffMin, maxDelay: writeBackoffMax, rand: p.Rand}
+	return p.writeObjectAt(ctx, prefix+c.Digest().String(), c, 0)
+}
+
+// rewriteObject writes an object of which the platform has one in most cases.
+func (p *Publisher) rewriteObject(ctx context.Context, prefix string, c note.Chunk) error {
 	name := prefix + c.Digest().String()
-	var cond store.Version
+	o, err := p.client.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	return p.writeObjectAt(ctx, name, c, o.Version)
+}
+
+// writeObjectAt implements writeObject for an object that is probably at a version.
+func (p *Publisher) writeObjectAt(ctx context.Context, name string, c note.Chunk, cond store.Version) error {
+	retry := backoff{minDelay: writeBackoffMin, maxDelay: writeBackoffMax, rand: p.Rand}
 	var err error
 	for range maxWriteAttempts {
 		if _, err = p.client.Put(ctx, name, c.Data(), cond); err == nil {
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -337,10 +337,9 @@
 
 func (v *VM) newPublisher(do.Injector) (*deploy.Publisher, error) {
 	p := deploy.NewPublisher(component[*store.Client](v))
-	p.CachedRelease = component[*deploy.Follower](v).Release
 	// The publishing VM applies the release at once. Its peers learn of it by heartbeat,
 	// whether or not they watch the platform.
-	p.OnCommit = component[*deploy.Follower](v).ApplyCommitted
+	p.Follow(component[*deploy.Follower](v))
 	p.Rand = rand.Float64
 	p.RegisterMetrics(component[*metrics.Set](v))
 	return p, nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -279,6 +279,7 @@
 		group.Go(func() error { return v.opts.ReleaseSource(work, v.applyFunc(work)) })
 		group.Go(func() error { return v.runPositionUpdates(work) })
 	} else {
+		component[*deploy.Publisher](v) // It follows the follower from the start.
 		group.Go(func() error { return component[*deploy.Follower](v).Run(work) })
 		group.Go(func() error { return v.runWatcherSelection(work) })
 	}
--- a/idem/claims.go
+++ b/idem/claims.go
@@ -32,6 +32,9 @@
 	// between VMs of up to the rest.
 	claimGrace = 10 * time.Minute
 
+	// eraName is the object that tells when the current era of the platform was first seen.
+	eraName = "claim/era"
+
 	minBackoff = 100 * time.Millisecond // Backoff after the first failed call.
 	maxBackoff = 5 * time.Second
 )
@@ -47,6 +50,8 @@
 	callSlots chan struct{}
 
 	mu           sync.Mutex
+	era          uint64    // The era of the platform that settledAt is of.
+	settledAt    time.Time // From then on, no claim that was lost before that era is still valid.
 	shards       []shard
 	waiting      int
 	recent       map[digest]claim // Newer half of the cache of confirmed claims.
@@ -68,6 +73,7 @@
 	request digest
 	done    chan struct{}
 	claim   claim
+	isLost  bool // A claim on the key may have been lost.
 	err     error
 }
 
@@ -182,8 +188,12 @@
 		if err != nil {
 			continue
 		}
+		var settled bool
+		if settled, err = c.isSettled(object.Version.Era()); err != nil {
+			continue
+		}
 		var value []byte
-		value, err = c.merge(time.Now(), object.Value, batch)
+		value, err = c.merge(time.Now(), object.Value, batch, settled)
 		if err != nil || value == nil {
 			return batch, err
 		}
@@ -215,10 +225,57 @@
 	return err
 }
 
+// isSettled reports whether all claims that the platform may have lost before an era have
+// expired. When it comes back from a copy, claims on keys that have run are gone, and their
+// owners may be gone as well, so that nobody knows which keys may run: until then, no key
+// is claimed anew. The first VM that sees an era stores when that was, for VMs that start later.
+func (c *Claims) isSettled(era uint64) (bool, error) {
+	if era <= store.FirstEra {
+		return true, nil
+	}
+	c.mu.Lock()
+	known, settledAt := c.era == era, c.settledAt
+	c.mu.Unlock()
+	if known {
+		return !time.Now().Before(settledAt), nil
+	}
+	seen, err := c.eraSeen(era)
+	if err != nil {
+		return false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.era, c.settledAt = era, seen.Add(KeyTTL+claimGrace)
+	return !time.Now().Before(c.settledAt), nil
+}
+
+// eraSeen returns when a VM first saw an era, which is now when none has stored it.
+func (c *Claims) eraSeen(era uint64) (time.Time, error) {
+	object, err := c.read(eraName)
+	if err != nil {
+		return time.Time{}, err
+	}
+	var stored wire.Era
+	if err := proto.Unmarshal(object.Value, &stored); err != nil {
+		return time.Time{}, fault.Wrap(fault.ClaimFailed, err, "decode the era of the claims")
+	}
+	if stored.GetNumber() == era {
+		return time.Unix(stored.GetSeen(), 0), nil
+	}
+	now := time.Now()
+	value, err := proto.Marshal(&wire.Era{Number: era, Seen: now.Unix()})
+	if err != nil {
+		return time.Time{}, fault.Wrap(fault.Internal, err, "encode the era of the claims")
+	}
+	// After a conflict, another VM has stored it or the platform has begun another era.
+	return now, c.put(eraName, value, object.Version)
+}
+
 // merge sets the claim of each request in the batch and drops claims that expired more
 // than claimGrace ago. It returns the new value of the shard, or nil when there is no
-// claim to add. The claim of a request that no longer fits into the shard stays empty.
-func (c *Claims) merge(now time.Time, value []byte, batch []*pending) ([]byte, error) {
+// claim to add. The claim of a request that no longer fits into the shard stays empty, and so
+// does one on a key without a stored claim while not all lost claims have expired.
+func (c *Claims) merge(now time.Time, value []byte, batch []*pending, settled bool) ([]byte, error) {
 	var stored wire.Claims
 	if err := proto.Unmarshal(value, &stored); err != nil {
 		return nil, fault.Wrap(fault.ClaimFailed, err, "decode claims")
@@ -234,6 +291,10 @@
 	size, changed := proto.Size(&wire.Claims{Claims: live}), false
 	for _, p := range batch {
 		w := byKey[p.key]
+		if p.isLost = w == nil && !settled; p.isLost {
+			p.claim = claim{}
+			continue
+		}
 		if w == nil {
 			w = c.newClaim(now, p)
 			const framing = 4 // Tag and length prefix of one claim, in bytes.
@@ -282,6 +343,8 @@
 		switch {
 		case err != nil:
 			p.claim, p.err = claim{}, fault.Wrap(fault.ClaimFailed, err, "write claims")
+		case p.isLost:
+			p.err = fault.New(fault.ClaimFailed, "the platform has come back from a copy, which may lack a claim on the key")
 		case p.claim.expiry.IsZero():
 			p.err = fault.New(fault.ClaimFailed, "the shard of the key is full")
 		default:
--- a/idem/claims_test.go
+++ b/idem/claims_test.go
@@ -59,6 +59,41 @@
 	}
 }
 
+// Guards against a second run of a key whose claim the platform has lost, because it came back
+// from a copy, and against keys that can never be claimed again after that.
+func TestClaimLostInRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t.Context(), 3, seed.For(t, testSeed))
+		kept, err := f.claim(0, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		copied := f.memory.Copy()
+		lost, err := f.claim(0, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.replace(0) // The owner of the lost claim is gone.
+		f.memory.Restore(copied)
+		if got, err := f.claim(1, 1); err != nil || got != kept {
+			t.Errorf("kept claim: %v, %v", got, err)
+		}
+		time.Sleep(KeyTTL - time.Minute)
+		for _, key := range []int{2, 3} { // Nobody can tell a new key from one that has run.
+			if got, err := f.claim(1, key); fault.KindOf(err) != fault.ClaimFailed {
+				t.Errorf("key %d: claimed by %v, %v; the lost claim of key 2 was of %v", key, got.owner, err, lost.owner)
+			}
+		}
+		f.replace(2) // Starts after the era has begun.
+		time.Sleep(2*time.Minute + claimGrace)
+		for i, key := range []int{2, 3} {
+			if _, err := f.claim(i+1, key); err != nil {
+				t.Errorf("key %d after all lost claims have expired: %v", key, err)
+			}
+		}
+	})
+}
+
 // Guards against claims that are never removed from the platform, and against a claim
 // that is removed while a run that began before its expiry may still be in progress.
 func TestClaimsExpire(t *testing.T) {
--- a/idem/fleet_test.go
+++ b/idem/fleet_test.go
@@ -171,7 +171,7 @@
 
 // Guards against a second run, a "not run" error for a key that ran, and two different
 // responses for one key, with repeats at several VMs, lost responses of the platform,
-// platform outages, killed and paused VMs, and lost messages between VMs.
+// platform outages, a platform that comes back from a copy, killed and paused VMs, and lost messages between VMs.
 func TestAtMostOneRun(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(int64(seed.For(t, testSeed)))
 	params.MinSuccessfulTests = 150
@@ -234,6 +234,7 @@
 		}
 		return reply, nil
 	}
+	copied := p.memory.Copy()
 	keys := []string{"own 1", "own 2", "own 3", p.vm(0).keys.Issue(time.Now()), p.vm(1).keys.Issue(time.Now())}
 	var group sync.WaitGroup
 	for range 60 {
@@ -246,6 +247,10 @@
 			p.vm(i).resume.Store(time.Now().Add(p.millis(1000)).UnixNano())
 		case 2:
 			p.down.Store(time.Now().Add(p.millis(200)).UnixNano())
+		case 3:
+			copied = p.memory.Copy()
+		case 4:
+			p.memory.Restore(copied)
 		}
 		group.Go(func() { p.send(p.vm(i), Call{Account: "a", Key: key}) })
 	}
--- a/objapi/faults.go
+++ b/objapi/faults.go
@@ -56,6 +56,25 @@
 	}
 }
 
+// Copy makes a copy of all objects, from which Restore comes back.
+func (s *Server) Copy() {
+	copied := s.memory.Copy()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = copied
+}
+
+// Restore makes the platform come back from the last copy, in another era. Without a copy it
+// comes back empty.
+func (s *Server) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.memory.Restore(s.copied)
+}
+
+// Era returns the current era.
+func (s *Server) Era() uint64 { return s.memory.Era() }
+
 // losesResponse counts a write that took effect and reports whether its response is
 // dropped.
 func (s *Server) losesResponse() bool {
@@ -129,6 +148,14 @@
 			s.SetFaults(f)
 		}
 	})
+	s.mux.HandleFunc("PUT /control/copy", func(w http.ResponseWriter, _ *http.Request) {
+		s.Copy()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	s.mux.HandleFunc("PUT /control/restore", func(w http.ResponseWriter, _ *http.Request) {
+		s.Restore()
+		w.WriteHeader(http.StatusNoContent)
+	})
 	s.mux.HandleFunc("PUT /control/vms", func(w http.ResponseWriter, r *http.Request) {
 		var vms []store.VM
 		if decodeControl(w, r, &vms) {
--- a/objapi/objapi.go
+++ b/objapi/objapi.go
@@ -2,12 +2,17 @@
 // in-memory store, with fault injection for tests.
 //
 //	GET    /v1/objects/{name}                    value; ETag is the version
-//	GET    /v1/objects/{name}?watch=7&wait=10s   the same, once the version is above 7
+//	GET    /v1/objects/{name}?watch=7&era=1&wait=10s
+//	                                             the same, once the version is above 7 or the era 1
 //	PUT    /v1/objects/{name}                    If-Match: "7", or If-None-Match: *
 //	DELETE /v1/objects/{name}                    If-Match: "7"
 //	GET    /v1/objects?prefix=release/           names and versions, JSON
 //	GET    /v1/vms                               list of entry VMs, which may be outdated, JSON
 //
+// Azuredeal-Era states the era in each response: it rises by one each time the platform comes
+// back from a copy, and then gives out versions again. In a write it states the era in which
+// the condition was read; without it the write goes to any era.
+//
 // The paths below /control/ are for tests and remain available during an outage.
 package objapi
 
@@ -38,6 +43,7 @@
 	rates  rates
 
 	mu            sync.Mutex
+	copied        store.Copy // For Restore.
 	faults        Faults
 	outageStarted chan struct{} // Closed when an outage begins, to abort waiting watches, and then replaced.
 	responseLoss  responseLoss
@@ -68,6 +74,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.rates.read(time.Now())
 		if s.injectFaults(w, r) {
+			setEra(w, s.memory.Era())
 			next(w, r)
 		}
 	})
@@ -81,6 +88,7 @@
 		if !s.injectFaults(w, r) {
 			return
 		}
+		setEra(w, s.memory.Era())
 		version, err := next(r)
 		if err != nil {
 			writeError(w, err)
@@ -89,7 +97,8 @@
 		if s.losesResponse() {
 			abort()
 		}
-		if version != 0 {
+		if version.Exists() {
+			setEra(w, version.Era())
 			setVersion(w, version)
 		}
 		w.WriteHeader(http.StatusNoContent)
@@ -103,10 +112,11 @@
 		return
 	}
 	o, err := s.readObject(r, name)
+	setEra(w, o.Version.Era())
 	switch {
 	case err != nil:
 		writeError(w, err)
-	case o.Version == 0:
+	case !o.Version.Exists():
 		w.WriteHeader(http.StatusNotFound)
 	default:
 		setVersion(w, o.Version)
@@ -123,9 +133,9 @@
 	if !query.Has("watch") {
 		return s.client.Get(r.Context(), name)
 	}
-	after, err := strconv.ParseUint(query.Get("watch"), 10, 64)
+	after, err := s.parseVersion(query.Get("watch"), query.Get("era"))
 	if err != nil {
-		return store.Object{}, fault.Wrap(fault.BadRequest, err, "watch")
+		return store.Object{}, err
 	}
 	wait := maxWatchWait
 	if text := query.Get("wait"); text != "" {
@@ -133,7 +143,7 @@
 			return store.Object{}, fault.Wrap(fault.BadRequest, err, "wait")
 		}
 	}
-	return s.wait(r.Context(), name, store.Version(after), min(wait, maxWatchWait))
+	return s.wait(r.Context(), name, after, min(wait, maxWatchWait))
 }
 
 // wait is the long poll of a watch: it returns when the object has a version above after
@@ -156,7 +166,7 @@
 }
 
 func (s *Server) put(r *http.Request) (store.Version, error) {
-	name, ifVersion, err := writeTarget(r)
+	name, ifVersion, err := s.writeTarget(r)
 	if err != nil {
 		return 0, err
 	}
@@ -171,7 +181,7 @@
 }
 
 func (s *Server) remove(r *http.Request) (store.Version, error) {
-	name, ifVersion, err := writeTarget(r)
+	name, ifVersion, err := s.writeTarget(r)
 	if err != nil {
 		return 0, err
 	}
@@ -186,7 +196,8 @@
 	}
 	out := make([]listEntry, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, listEntry{Name: e.Name, Version: e.Version})
+		setEra(w, e.Version.Era())
+		out = append(out, listEntry{Name: e.Name, Number: e.Version.Number()})
 	}
 	writeJSON(w, out)
 }
@@ -202,29 +213,52 @@
 
 // listEntry is one row of a listing.
 type listEntry struct {
-	Name    string        `json:"name"`
-	Version store.Version `json:"version"`
+	Name   string `json:"name"`
+	Number uint64 `json:"version"`
 }
 
 // writeTarget returns the object name of a write and the version that the object must
 // have; version 0 means that it must not exist.
-func writeTarget(r *http.Request) (string, store.Version, error) {
+func (s *Server) writeTarget(r *http.Request) (string, store.Version, error) {
 	name, err := objectName(r)
 	if err != nil {
 		return "", 0, err
 	}
+	era := r.Header.Get(store.EraHeader)
 	if r.Header.Get("If-None-Match") == "*" {
-		return name, 0, nil
+		version, err := s.parseVersion("0", era)
+		return name, version, err
 	}
 	tag := r.Header.Get("If-Match")
 	if tag == "" {
 		return "", 0, fault.New(fault.KeyMissing, "a write needs If-Match or If-None-Match")
 	}
-	version, err := strconv.ParseUint(strings.Trim(tag, `"`), 10, 64)
-	if err != nil || version == 0 {
-		return "", 0, fault.New(fault.BadRequest, "If-Match %q is not a version", tag)
+	version, err := s.parseVersion(strings.Trim(tag, `"`), era)
+	if err != nil || !version.Exists() {
+		return "", 0, fault.New(fault.BadRequest, "If-Match %q in era %q is not a version", tag, era)
+	}
+	return name, version, nil
+}
+
+// parseVersion parses a version of an era; an empty era is the current one.
+func (s *Server) parseVersion(number, era string) (store.Version, error) {
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return 0, fault.Wrap(fault.BadRequest, err, "version")
 	}
-	return name, store.Version(version), nil
+	inEra := s.memory.Era()
+	if era != "" {
+		if inEra, err = strconv.ParseUint(era, 10, 64); err != nil {
+			return 0, fault.Wrap(fault.BadRequest, err, "era")
+		}
+	}
+	v, err := store.NewVersion(inEra, n)
+	return v, fault.Wrap(fault.BadRequest, err, "version")
+}
+
+// setEra states the era of the response.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(store.EraHeader, strconv.FormatUint(era, 10))
 }
 
 func objectName(r *http.Request) (string, error) {
@@ -237,7 +271,7 @@
 
 // setVersion sends the version of an object as its ETag.
 func setVersion(w http.ResponseWriter, v store.Version) {
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(v), 10)))
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(v.Number(), 10)))
 }
 
 func writeJSON(w http.ResponseWriter, value any) {
--- a/objapi/objapi_test.go
+++ b/objapi/objapi_test.go
@@ -59,6 +59,72 @@
 	}
 }
 
+// Guards against a write whose condition was read before the platform came back from a copy and
+// holds by chance since, and against a watch that goes on waiting in another era.
+func TestRestore(t *testing.T) {
+	api, c, _ := start(t, store.WithWait(time.Minute))
+	ctx := t.Context()
+	kept, err := c.Put(ctx, "kept", []byte("one"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	api.Copy()
+	lost, err := c.Put(ctx, "lost", []byte("one"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	watched := make(chan store.Object)
+	go func() {
+		o, _ := c.Watch(ctx, "lost", lost)
+		watched <- o
+	}()
+	api.Restore()
+	if o := <-watched; o.Version.Exists() || o.Version.Era() != store.FirstEra+1 {
+		t.Errorf("watch of a lost object: version %d of era %d", o.Version.Number(), o.Version.Era())
+	}
+	absent, err := c.Get(ctx, "other")
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := c.Put(ctx, "other", []byte("two"), absent.Version)
+	if err != nil || again.Number() != lost.Number() {
+		t.Fatalf("version %d, want %d given out again, %v", again.Number(), lost.Number(), err)
+	}
+	for _, write := range []struct {
+		name string
+		cond store.Version
+	}{{"kept", kept}, {"lost", 0}, {"other", lost}} {
+		if _, err := c.Put(ctx, write.name, []byte("late"), write.cond); fault.KindOf(err) != fault.Conflict {
+			t.Errorf("write of %q with a condition of the era before: %v", write.name, err)
+		}
+	}
+	if err := c.Delete(ctx, "kept", kept); fault.KindOf(err) != fault.Conflict {
+		t.Errorf("deletion with a condition of the era before: %v", err)
+	}
+	o, err := c.Get(ctx, "kept")
+	if err != nil || string(o.Value) != "one" || o.Version.Number() != kept.Number() || o.Version <= kept {
+		t.Errorf("kept object: %+v, %v", o, err)
+	}
+	list, err := c.List(ctx, "kept")
+	if err != nil || len(list) != 1 || list[0].Version != o.Version {
+		t.Errorf("list %v, %v", list, err)
+	}
+}
+
+// Guards against eras that nobody can tell and that are taken for the first one.
+func TestUnusableEra(t *testing.T) {
+	for _, values := range [][]string{{"two"}, {"0"}, {"-1"}, {"1", "2"}, {"18446744073709551615"}} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header()[store.EraHeader] = values
+			w.Header().Set("ETag", `"7"`)
+		}))
+		if o, err := store.NewHTTP(server.URL, server.Client()).Get(t.Context(), "a"); fault.KindOf(err) != fault.PlatformDown {
+			t.Errorf("era %q: %+v, %v", values, o, err)
+		}
+		server.Close()
+	}
+}
+
 // Guards against values above MaxValueBytes that the client or the server accepts, and
 // against names that address another object because a URL is normalized.
 func TestBounds(t *testing.T) {
--- a/store/http.go
+++ b/store/http.go
@@ -25,6 +25,10 @@
 	maxIdleConns     = 16
 )
 
+// EraHeader states the era of the platform in each response, and in a write the era in which
+// its condition was read.
+const EraHeader = "Azuredeal-Era"
+
 // Option configures the client that NewHTTP returns.
 type Option func(*remote)
 
@@ -87,16 +91,22 @@
 	if err != nil {
 		return Object{}, err
 	}
-	query := url.Values{"watch": {strconv.FormatUint(uint64(after), 10)}, "wait": {r.wait.String()}}
+	query := url.Values{
+		"watch": {strconv.FormatUint(after.Number(), 10)}, "era": {strconv.FormatUint(after.Era(), 10)}, "wait": {r.wait.String()},
+	}
 	return r.readObject(ctx, path+"?"+query.Encode(), r.wait+r.timeout)
 }
 
-// readObject reads one object. One that does not exist has version 0.
+// readObject reads one object. The version of one that does not exist has number 0.
 func (r *remote) readObject(ctx context.Context, path string, timeout time.Duration) (Object, error) {
 	got, err := r.call(ctx, apiRequest{method: http.MethodGet, path: path, timeout: timeout, limit: MaxValueBytes})
-	if err != nil || got.status == http.StatusNotFound {
+	if err != nil {
 		return Object{}, err
 	}
+	if got.status == http.StatusNotFound {
+		version, err := NewVersion(got.era, 0)
+		return Object{Version: version}, err
+	}
 	version, err := got.version()
 	if err != nil {
 		return Object{}, err
@@ -132,28 +142,33 @@
 
 func (r *remote) list(ctx context.Context, prefix string) ([]ObjectInfo, error) {
 	var rows []struct {
-		Name    string  `json:"name"`
-		Version Version `json:"version"`
+		Name   string `json:"name"`
+		Number uint64 `json:"version"`
 	}
-	if err := r.readListing(ctx, "/v1/objects?"+url.Values{"prefix": {prefix}}.Encode(), &rows); err != nil {
+	era, err := r.readListing(ctx, "/v1/objects?"+url.Values{"prefix": {prefix}}.Encode(), &rows)
+	if err != nil {
 		return nil, err
 	}
 	out := make([]ObjectInfo, 0, len(rows))
 	for _, row := range rows {
-		out = append(out, ObjectInfo{Name: row.Name, Version: row.Version})
+		version, err := NewVersion(era, row.Number)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, ObjectInfo{Name: row.Name, Version: version})
 	}
 	return out, nil
 }
 
 func (r *remote) listVMs(ctx context.Context) ([]VM, error) {
 	var out []VM
-	err := r.readListing(ctx, "/v1/vms", &out)
+	_, err := r.readListing(ctx, "/v1/vms", &out)
 	return out, err
 }
 
-// readListing reads a JSON listing into the value that into points to.
-func (r *remote) readListing(ctx context.Context, path string, into any) error {
-	return r.retryRead(ctx, func() error {
+// readListing reads a JSON listing into the value that into points to, and returns its era.
+func (r *remote) readListing(ctx context.Context, path string, into any) (era uint64, err error) {
+	err = r.retryRead(ctx, func() error {
 		got, err := r.call(ctx, apiRequest{method: http.MethodGet, path: path, timeout: r.timeout, limit: maxListingBytes})
 		if err != nil {
 			return err
@@ -161,8 +176,10 @@
 		if got.status != http.StatusOK {
 			return fault.New(fault.PlatformDown, "listing answered with status %d", got.status)
 		}
+		era = got.era
 		return fault.Wrap(fault.PlatformDown, json.Unmarshal(got.body, into), "listing")
 	})
+	return era, err
 }
 
 // retryRead retries a read once when it fails with PlatformDown. The pause has jitter, so
@@ -195,6 +212,7 @@
 type apiResponse struct {
 	status int
 	etag   string
+	era    uint64
 	body   []byte
 }
 
@@ -222,19 +240,37 @@
 	if err := statusError(resp.StatusCode, a.write); err != nil {
 		return apiResponse{}, err
 	}
+	era, err := parseEra(resp.Header.Values(EraHeader))
+	if err != nil {
+		return apiResponse{}, err
+	}
 	if len(body) > a.limit {
 		return apiResponse{}, fault.New(fault.PlatformDown, "platform answer exceeds %d bytes", a.limit)
 	}
-	return apiResponse{status: resp.StatusCode, etag: resp.Header.Get("ETag"), body: body}, nil
+	return apiResponse{status: resp.StatusCode, etag: resp.Header.Get("ETag"), era: era, body: body}, nil
 }
 
-// setCondition adds the header that makes a write conditional on the version cond.
+// setCondition adds the headers that make a write conditional on the version cond and its era.
 func setCondition(req *http.Request, cond Version) {
-	if cond == 0 {
+	req.Header.Set(EraHeader, strconv.FormatUint(cond.Era(), 10))
+	if !cond.Exists() {
 		req.Header.Set("If-None-Match", "*")
 		return
 	}
-	req.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(uint64(cond), 10)))
+	req.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(cond.Number(), 10)))
+}
+
+// parseEra returns the era that a response states; a platform that states none has never come
+// back from a copy.
+func parseEra(values []string) (uint64, error) {
+	if len(values) == 0 {
+		return FirstEra, nil
+	}
+	era, err := strconv.ParseUint(values[0], 10, 64)
+	if err != nil || len(values) > 1 || era < FirstEra {
+		return 0, fault.New(fault.PlatformDown, "platform states era %q", values)
+	}
+	return era, nil
 }
 
 // statusError returns the error for a response status, or nil if the call succeeded. The
@@ -262,7 +298,7 @@
 	if err != nil || v == 0 {
 		return 0, fault.New(fault.PlatformDown, "platform answer has ETag %q", r.etag)
 	}
-	return Version(v), nil
+	return NewVersion(r.era, v)
 }
 
 // objectPath returns the URL path of an object. It returns an Invalid error for a name
