pool: a refusal without a request id counts on a new connection only

A faulty server that sends an earlier refusal once more on a connection that it keeps made the fleet tell the caller of the next request there that it had not run, while the server ran it. Requests that must not run twice are not affected: they have connections of their own (TestRefusalSentOnceMore in proxy, which passes before).

Cause: a missing request id is accepted where the service does not require the echo, also in a statement that nothing has run.

Change: on a connection that was used before, such a refusal is a mismatch: the connection is closed, and the request may have run.

TestRefusalSentOnceMore (pool) failed before for a refusal without an id.

--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -185,6 +185,12 @@
 	x.serverConn.recordKeepAlive(head.Header, time.Now())
 	x.reportRate(head)
 	if outcome, ok := x.pool.opts.Dialect.RefusalOutcome(head.StatusCode, head.Header); ok {
+		if x.serverConn.wasUsed() && !x.hasRequestID(head.Header) {
+			// It may be an earlier refusal that was sent once more.
+			x.keepConn = false
+			x.end(board.Mismatch)
+			return nil, fault.New(fault.Mismatch, "refusal without a request id on a connection that was used before")
+		}
 		return nil, x.failRefused(head, outcome)
 	}
 	if x.req.Echo != note.EchoOpen && hasUnframedBody(x.req.Method, head) {
@@ -275,6 +281,9 @@
 	return len(ids) > 0 || x.req.Echo != note.EchoRequired
 }
 
+// hasRequestID reports whether a response with the header h states a request id.
+func (x *exchange) hasRequestID(h http.Header) bool { return len(h[x.pool.opts.Dialect.ID]) > 0 }
+
 // requestWritten reports whether the whole request has been written.
 func (x *exchange) requestWritten() bool {
 	if x.bodyWritten != nil {
--- a/pool/link.go
+++ b/pool/link.go
@@ -94,6 +94,9 @@
 	}
 }
 
+// wasUsed reports whether there was an exchange on the connection before the current one.
+func (c *serverConn) wasUsed() bool { return !c.idleSince.IsZero() }
+
 // keepAliveExpired reports whether the keep-alive timeout that the backend server
 // announced is about to end or has ended.
 func (c *serverConn) keepAliveExpired(now time.Time) bool {
