--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -41,12 +41,11 @@
 	c.service.budget.Deposit()
 	d := &dispatch{
 		call: c, ctx: ctx, bufferAll: bufferAll, start: time.Now(), attemptIDPrefix: c.handler.newRequestID(),
-		results: make(chan result, c.route.maxAttempts+maxUnsentAttempts),
+		results:   make(chan result, c.route.maxAttempts+maxUnsentAttempts),
+		latencies: c.service.latencies.forRoute(c.route.name),
+		isHedged:  c.repeatable && c.service.note.Limits.Hedge,
 	}
 	d.tried, d.launched = d.inline.tried[:0], d.inline.launched[:0]
-	if c.repeatable && c.service.note.Limits.Hedge {
-		d.latencies = c.service.latencies.forRoute(c.route.name)
-	}
 	resp, err := d.run()
 	if err != nil {
 		release()
@@ -105,10 +104,11 @@
 	launched        []launched // Parallel to tried.
 	results         chan result
 	pending         int
-	unsent          int            // Number of attempts that reached no server.
-	latencies       *latencyWindow // Nil when the call is not hedged.
-	failedResponse  *response      // A complete server error response, returned when no retry succeeds.
-	maybeRan        error          // Error of an attempt that may have run.
+	unsent          int // Number of attempts that reached no server.
+	latencies       *latencyWindow
+	isHedged        bool
+	failedResponse  *response // A complete server error response, returned when no retry succeeds.
+	maybeRan        error     // Error of an attempt that may have run.
 	// inline is the initial backing array of tried and launched, which saves two
 	// allocations for a call without retries.
 	inline struct {
@@ -127,7 +127,7 @@
 	}
 	var hedgeDue <-chan time.Time // Fires when a hedge is due.
 	var hedge *time.Timer
-	if d.latencies != nil {
+	if d.isHedged {
 		hedge = time.NewTimer(d.latencies.hedgeDelay(time.Until(d.call.deadline)))
 		defer hedge.Stop()
 		hedgeDue = hedge.C
--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -1,10 +1,14 @@
 package proxy
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/note"
@@ -57,3 +61,33 @@
 		})
 	}
 }
+
+// Guards against requests that must not run twice and are told that they did not run, or run at
+// a second server, because a server sends an earlier refusal once more on a connection that it
+// keeps open.
+func TestRefusalSentOnceMore(t *testing.T) {
+	var runs atomic.Int64
+	var refused atomic.Bool
+	faulty := serveRaw(t, func(c net.Conn, r *http.Request, _ []byte) bool {
+		const refusal = "HTTP/1.1 503 X\r\nAzuredeal-Refused: shed\r\nContent-Length: 0\r\n"
+		if refused.CompareAndSwap(false, true) {
+			_, _ = io.WriteString(c, refusal+"X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n\r\n")
+			time.Sleep(10 * time.Millisecond) // The connection is idle when it comes again.
+			_, _ = io.WriteString(c, refusal+"\r\n")
+			return true
+		}
+		runs.Add(1)
+		return respond(c, r, 200, "", "ran")
+	})
+	spare := serveRaw(t, func(c net.Conn, r *http.Request, _ []byte) bool {
+		runs.Add(1)
+		return respond(c, r, 200, "", "spare")
+	})
+	f := newFixture(t, func(s *note.Service) { s.Echo = note.EchoOpen }, faulty, spare)
+	for i, want := range []string{"spare", "ran", "ran", "ran"} {
+		runs.Store(0)
+		if got := bodyOf(t, f.do("POST", "/act", "")); got != want || runs.Load() != 1 {
+			t.Errorf("request %d got %q after %d runs, want %q", i, got, runs.Load(), want)
+		}
+	}
+}
--- a/proxy/window.go
+++ b/proxy/window.go
@@ -22,11 +22,8 @@
 	p95   atomic.Int64 // Nanoseconds; 0 until recomputeInterval times were added.
 }
 
-// add records one response time. It does nothing on a nil window.
+// add records one response time.
 func (w *latencyWindow) add(took time.Duration) {
-	if w == nil {
-		return
-	}
 	n := w.count.Add(1)
 	w.times[n%windowSize].Store(max(1, took.Nanoseconds()))
 	if n%recomputeInterval != 0 {
@@ -42,6 +39,9 @@
 	w.p95.Store(sorted[(len(sorted)*hedgePercentile-1)/100])
 }
 
+// usual returns the recent p95, 0 while it is unknown.
+func (w *latencyWindow) usual() time.Duration { return time.Duration(w.p95.Load()) }
+
 // hedgeDelay returns how long to wait for a response before sending a hedge: the
 // recent p95, bounded by a share of the remaining time so that the hedge can
 // complete. It is at least minHedgeDelay: while the retry budget is exhausted the
@@ -49,7 +49,7 @@
 // to nothing before the deadline.
 func (w *latencyWindow) hedgeDelay(remaining time.Duration) time.Duration {
 	maxDelay := max(remaining/hedgeDelayDivisor, minHedgeDelay)
-	p95 := time.Duration(w.p95.Load())
+	p95 := w.usual()
 	if p95 == 0 {
 		return maxDelay
 	}
