limit, pool, proxy: servers that leave or want no requests for a while get none

A backend server that states in its responses that it leaves, or with a 503 for how long it wants no requests, got them all the same: no line read either field.

Cause: both were passed on to callers as any other field.

Other VMs are told that the rate of a leaving server is 0. After a hold, requests return one by one, at different times on different VMs. If all servers want none, callers are refused at once and told when the first one returns. A VM that shuts down no longer tells callers to wait for a second.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -87,7 +87,9 @@
 	prober := newProber(v.FleetSize, func(service, server string, ok bool, took time.Duration) {
 		_ = component[*board.Board](v).Do(ctx, func(now time.Time) { v.health.observeProbe(now, service, server, ok, took) })
 	})
-	prober.skip = proxyHandler.IsLimited
+	prober.skip = func(service, addr string) bool {
+		return proxyHandler.IsLimited(service, addr) || proxyHandler.IsHeld(service, addr)
+	}
 	v.probes = newProbes(ctx, prober)
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -6,7 +6,10 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -249,7 +252,35 @@
 // Only the text of the table reaches the caller, because messages of wrapped errors
 // may contain addresses of backend servers.
 func WriteResponse(w http.ResponseWriter, err error, id string) {
-	writeProblem(w, KindOf(err), KindOf(err).Response().ran, id)
+	writeProblem(w, err, KindOf(err).Response().ran, id)
+}
+
+// retryAfter is an error that says when to come back.
+type retryAfter struct {
+	error
+	delay time.Duration
+}
+
+// Unwrap returns the error without the delay.
+func (e retryAfter) Unwrap() error { return e.error }
+
+// RetryAfter adds to an error the time after which the caller should come back.
+func RetryAfter(err error, delay time.Duration) error { return retryAfter{err, delay} }
+
+// defaultRetryAfter is the time after which a caller should come back when an error does not
+// say it.
+const defaultRetryAfter = time.Second
+
+// retryDelay returns the time after which the caller should come back, in whole seconds. It
+// reports false when it should go elsewhere at once.
+func retryDelay(err error) (seconds int, ok bool) {
+	resp, delay := KindOf(err).Response(), defaultRetryAfter
+	var stated retryAfter
+	if errors.As(err, &stated) {
+		delay = stated.delay
+	}
+	ok = resp.status == http.StatusServiceUnavailable || resp.status == http.StatusTooManyRequests
+	return int(math.Ceil(delay.Seconds())), ok && KindOf(err) != Stopping
 }
 
 // WriteRanUnknown is WriteResponse for a request whose idempotency key may have been
@@ -260,10 +291,11 @@
 	if ran == No {
 		ran = Unknown
 	}
-	writeProblem(w, KindOf(err), ran, id)
+	writeProblem(w, err, ran, id)
 }
 
-func writeProblem(w http.ResponseWriter, kind Kind, ran Ran, id string) {
+func writeProblem(w http.ResponseWriter, err error, ran Ran, id string) {
+	kind := KindOf(err)
 	resp := kind.Response()
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
@@ -272,8 +304,8 @@
 	if id != "" {
 		h.Set(HeaderRequestID, id)
 	}
-	if resp.status == http.StatusServiceUnavailable || resp.status == http.StatusTooManyRequests {
-		h.Set("Retry-After", "1")
+	if seconds, ok := retryDelay(err); ok {
+		h.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.WriteHeader(resp.status)
 	_, _ = fmt.Fprintf(w, "{\"type\":\"about:blank\",\"status\":%d,\"title\":%q,\"kind\":%q,\"ran\":%q}\n",
--- a/limit/rate.go
+++ b/limit/rate.go
@@ -24,6 +24,7 @@
 // The zero value allows all requests. It is safe for concurrent use.
 type Rate struct {
 	limited atomic.Bool
+	hold    Hold
 
 	mu           sync.Mutex
 	perSecond    float64
@@ -49,6 +50,9 @@
 	r.limited.Store(true)
 }
 
+// Hold returns what keeps all requests from the server, whatever the rate.
+func (r *Rate) Hold() *Hold { return &r.hold }
+
 // Limited reports whether there is a bound.
 func (r *Rate) Limited() bool { return r.limited.Load() }
 
@@ -71,10 +75,16 @@
 
 // Ready reports whether Take would succeed.
 func (r *Rate) Ready() bool {
-	if !r.limited.Load() {
+	if r.hold.isClear() && !r.limited.Load() {
 		return true
 	}
 	now := time.Now()
+	if !r.hold.ready(now) {
+		return false
+	}
+	if !r.limited.Load() {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refill(now)
@@ -83,10 +93,16 @@
 
 // Take reports whether a request may be sent now, and counts it if so.
 func (r *Rate) Take() bool {
-	if !r.limited.Load() {
+	if r.hold.isClear() && !r.limited.Load() {
 		return true
 	}
 	now := time.Now()
+	if !r.hold.take(now) {
+		return false
+	}
+	if !r.limited.Load() {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refill(now)
@@ -113,10 +129,18 @@
 
 // Wait returns the time until the next request is allowed if no other is sent before it.
 func (r *Rate) Wait() time.Duration {
-	if !r.limited.Load() {
-		return 0
-	}
 	now := time.Now()
+	left, returns := r.hold.wait(now)
+	switch {
+	case !returns:
+		return noWait
+	case !r.limited.Load():
+		return left
+	}
+	return max(left, r.waitForToken(now))
+}
+
+func (r *Rate) waitForToken(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refill(now)
--- a/note/release.go
+++ b/note/release.go
@@ -42,6 +42,9 @@
 	// InstanceID identifies the process that listens on Addr. If set, it is sent with each
 	// request, so that a process of another service that reuses the address refuses it.
 	InstanceID string `json:"id,omitempty"`
+	// Start tells processes with the same InstanceID apart, as a restart may keep it; 0 when
+	// it is not known. It is not part of a note.
+	Start uint64 `json:"-"`
 }
 
 // Values of Detection.Profile.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -209,15 +209,21 @@
 	return nil
 }
 
-// RateWait returns the time until a target that only the bound of its rate excludes may be
-// picked. It reports false when there is no such target.
+// maxHoldWait is the longest rest of a hold that is waited for. Callers of a service whose
+// servers all want no requests are told at once when to come back.
+const maxHoldWait = 100 * time.Millisecond
+
+// RateWait returns the time until a target that only the bound of its rate excludes, or a hold
+// that is about to end, may be picked. It reports false when there is no such target.
 func (p *Picker) RateWait() (wait time.Duration, ok bool) {
 	s := p.snapshot.Load()
 	if s == nil {
 		return 0, false
 	}
+	now := time.Now()
 	for _, t := range s.all {
-		if t.capacity() <= 0 || !t.rate.Limited() {
+		left, returns := t.rate.Hold().Left(now)
+		if t.capacity() <= 0 || !returns || left > maxHoldWait || !t.rate.Limited() && t.rate.Ready() {
 			continue
 		}
 		if w := t.rate.Wait(); !ok || w < wait {
@@ -227,6 +233,26 @@
 	return wait, ok
 }
 
+// HoldLeft returns the time until the first target returns that has asked for no requests. It
+// reports false when there is none, or one that gets requests.
+func (p *Picker) HoldLeft(now time.Time) (left time.Duration, ok bool) {
+	s := p.snapshot.Load()
+	if s == nil {
+		return 0, false
+	}
+	for _, t := range s.all {
+		wait, returns := t.rate.Hold().Left(now)
+		switch {
+		case !returns || t.capacity() <= 0:
+		case wait == 0:
+			return 0, false
+		case !ok || wait < left:
+			left, ok = wait, true
+		}
+	}
+	return left, ok
+}
+
 func (p *Picker) pick(f filter) *Target {
 	s := p.snapshot.Load()
 	if s == nil {
--- a/pool/dialect.go
+++ b/pool/dialect.go
@@ -3,11 +3,14 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/fault"
+	"github.com/azuredeal/azuredeal/limit"
 )
 
 // Dialect defines the header fields that callers, entry VMs and backend servers
@@ -30,6 +33,9 @@
 	// RateLimitHeader is the response header field in which a backend server states how many
 	// requests per second it accepts from all VMs together, as a decimal number.
 	RateLimitHeader string
+	// LeavingHeader is the response header field with which a backend server states, by the
+	// value 1, that it leaves.
+	LeavingHeader string
 	// RefusalOutcome returns the outcome for a response in which the backend server
 	// states that it refused the request before starting it. It reports false for
 	// every other response.
@@ -40,6 +46,7 @@
 const (
 	HeaderDeadline       = "Azuredeal-Deadline"   // Milliseconds until the deadline.
 	HeaderRateLimit      = "Azuredeal-Rate-Limit" // Requests per second that the server accepts.
+	HeaderLeaving        = "Azuredeal-Leaving"    // 1 when the server leaves.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
 
@@ -47,7 +54,7 @@
 func DefaultDialect() *Dialect {
 	return &Dialect{
 		ID: fault.HeaderRequestID, DeadlineHeader: HeaderDeadline, IdempotencyKeyHeader: HeaderIdempotencyKey,
-		RateLimitHeader: HeaderRateLimit, RefusalOutcome: defaultRefusalOutcome,
+		RateLimitHeader: HeaderRateLimit, LeavingHeader: HeaderLeaving, RefusalOutcome: defaultRefusalOutcome,
 	}
 }
 
@@ -67,12 +74,48 @@
 	return 0, false
 }
 
-// statedRate returns the rate that a response states, in requests per second. Without the
+// Stated is what a response says of the server process that sent it.
+type Stated struct {
+	Leaving bool // It wants no new requests any more.
+	// StayAway is the time for which it wants no requests from this VM; 0 when it does not say.
+	StayAway time.Duration
+}
+
+// stated returns what a response says of the server process. Values that are malformed say
+// nothing.
+func (d *Dialect) stated(status int, h http.Header) Stated {
+	if status == http.StatusMisdirectedRequest { // From another process than the intended one.
+		return Stated{}
+	}
+	s := Stated{Leaving: slices.ContainsFunc(h[d.LeavingHeader], func(v string) bool { return strings.TrimSpace(v) == "1" })}
+	if status == http.StatusServiceUnavailable {
+		s.StayAway = longestDelay(h["Retry-After"])
+	}
+	return s
+}
+
+// longestDelay returns the longest of the delays in the values of a header field, in seconds.
+// A date says nothing, as the time of day of a VM can be wrong.
+func longestDelay(values []string) time.Duration {
+	var longest time.Duration
+	for _, value := range values {
+		if seconds, ok := parseRate(strings.TrimSpace(value)); ok {
+			longest = max(longest, time.Duration(min(seconds, limit.MaxHold.Seconds())*float64(time.Second)))
+		}
+	}
+	return longest
+}
+
+// statedRate returns the rate that a response states, in requests per second. That of a server
+// that leaves is 0, which other VMs are told. Without the
 // field it is Unlimited, if the status says that the request was served: refusals and errors
 // may come from a place in the server that does not know of a limit. It reports false for a
 // response that says nothing about the rate.
 func (d *Dialect) statedRate(status int, h http.Header) (perSecond float64, ok bool) {
 	values := h[d.RateLimitHeader]
+	if d.stated(status, h).Leaving {
+		return 0, true
+	}
 	switch {
 	case status == http.StatusMisdirectedRequest: // From another process than the intended one.
 		return 0, false
--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -184,6 +184,9 @@
 	x.keepConn = !head.Close && x.requestWritten()
 	x.serverConn.recordKeepAlive(head.Header, time.Now())
 	x.reportRate(head)
+	if stated := x.pool.opts.Dialect.stated(head.StatusCode, head.Header); stated != (Stated{}) {
+		x.pool.opts.Stated(stated)
+	}
 	if outcome, ok := x.pool.opts.Dialect.RefusalOutcome(head.StatusCode, head.Header); ok {
 		if x.serverConn.wasUsed() && !x.hasRequestID(head.Header) {
 			// It may be an earlier refusal that was sent once more.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -41,6 +41,9 @@
 	// StatedRate receives what each response says of the request rate that the backend
 	// server accepts, as soon as its header has arrived. It must not block. May be nil.
 	StatedRate func(board.StatedRate)
+	// Stated receives what a response says of the server process, if it says something, as
+	// soon as its header has arrived. It must not block. May be nil.
+	Stated func(Stated)
 }
 
 // Pool holds the connections to one backend server.
@@ -84,6 +87,9 @@
 	if opts.StatedRate == nil {
 		opts.StatedRate = func(board.StatedRate) {}
 	}
+	if opts.Stated == nil {
+		opts.Stated = func(Stated) {}
+	}
 	return &Pool{addr: addr, opts: opts, maxConns: opts.Conns}
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -123,7 +123,7 @@
 	winner := -1
 	defer func() { d.cancelOthers(winner) }()
 	if !d.launchFirst() {
-		return nil, d.finalError(fault.New(fault.NoServer, "service %s", d.call.service.note.Name))
+		return nil, d.finalError(d.noServer())
 	}
 	var hedgeDue <-chan time.Time // Fires when a hedge is due.
 	var hedge *time.Timer
@@ -156,6 +156,16 @@
 	}
 }
 
+// noServer returns the fault for a service without a server that gets requests. It says when to
+// come back if servers have asked for no requests for a while.
+func (d *dispatch) noServer() error {
+	err := fault.New(fault.NoServer, "service %s", d.call.service.note.Name)
+	if left, ok := d.call.service.picker.HoldLeft(time.Now()); ok {
+		return fault.RetryAfter(err, left)
+	}
+	return err
+}
+
 // maxRateWaitShare is the part of the time until the deadline that a call may wait for its
 // turn when all servers are at the bounds of their rates. The rest is for the exchange.
 const maxRateWaitShare = 0.5
@@ -356,7 +366,7 @@
 	if c.handler.opts.Dialect.KeepRequestID {
 		id = c.id
 	}
-	sent := false
+	sent, held := false, false
 	req := &pool.Request{
 		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
 		Header: maps.Clone(c.header), ID: id, Echo: c.service.note.Echo,
@@ -364,7 +374,9 @@
 		RequireNewConn: !c.repeatable || resp.index > 0,
 		OnEnd:          func(s board.Sample) { resp.took, resp.outcome = s.Took, s.Outcome },
 		AllowSend: func() bool {
-			sent = d.allowSend(ctx)
+			// Another response may have stated since the pick that the server wants nothing.
+			held = !resp.server.rate.bound.Hold().Allows(time.Now())
+			sent = !held && d.allowSend(ctx)
 			return sent
 		},
 	}
@@ -380,6 +392,9 @@
 		return nil
 	}
 	resp.close()
+	if held {
+		return fault.New(fault.Unreachable, "%s wants no requests now", resp.server.note.Addr)
+	}
 	if sent && fault.KindOf(err).Response().Ran() == fault.No {
 		d.gate.undoSend()
 	}
--- a/proxy/rate.go
+++ b/proxy/rate.go
@@ -1,10 +1,16 @@
 package proxy
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/limit"
+	"github.com/azuredeal/azuredeal/pool"
 )
 
 //go:generate stringer -type=attemptKind -linecomment -output=rate_string.go
@@ -62,3 +68,50 @@
 	}
 	return out
 }
+
+// recordStated takes in what a response says of the process that sent it. From then on this
+// VM sends no attempt of any kind to it, for the time that it asks for or for good.
+func (h *Handler) recordStated(name string, v *server, s pool.Stated) {
+	hold, now := v.rate.bound.Hold(), time.Now()
+	line := func() *zerolog.Event {
+		return h.opts.Log.Info().Str("service", name).Str("server", v.note.Addr).Str("id", v.note.InstanceID)
+	}
+	changed := false
+	if s.Leaving && hold.Leave() {
+		changed = true
+		h.countStated(name, "leaving")
+		line().Msg("backend server states that it leaves")
+	}
+	if s.StayAway > 0 && hold.StayAway(now, s.StayAway, rand.Float64()) {
+		changed = true
+		h.countStated(name, "busy")
+		line().Dur("away", s.StayAway).Msg("backend server wants no requests for a while")
+		left, _ := hold.Left(now)
+		time.AfterFunc(left, func() { h.updateMaxRunning(name) })
+	}
+	if changed {
+		h.updateMaxRunning(name)
+	}
+}
+
+func (h *Handler) countStated(name, state string) {
+	if s := h.serviceByName(name); s != nil {
+		s.counters.getCounter("stated", fmt.Sprintf(",state=%q", state)).Inc()
+	}
+}
+
+// updateMaxRunning makes the queue of a service follow the servers that get requests.
+func (h *Handler) updateMaxRunning(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.serviceByName(name); s != nil {
+		s.updateMaxRunning()
+	}
+}
+
+// IsHeld reports whether a backend server has stated that it leaves, or has asked for no
+// requests for a while.
+func (h *Handler) IsHeld(name, addr string) bool {
+	v := h.serverByAddr(name, addr)
+	return v != nil && !v.target.Rate().Hold().Allows(time.Now())
+}
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -119,7 +119,7 @@
 	if old != nil && old.note == n {
 		return old
 	}
-	if old != nil && old.note.InstanceID != n.InstanceID {
+	if old != nil && (old.note.InstanceID != n.InstanceID || old.note.Start != n.Start) {
 		old = nil // Another process now uses the address.
 	}
 	v := &server{note: n, target: pick.NewTarget(n.Addr, n.Zone, n.Slots)}
@@ -151,6 +151,7 @@
 		Dial:           h.opts.Dial,
 		Sample:         h.recordSample,
 		StatedRate:     func(r board.StatedRate) { h.recordRate(v.rate, r) },
+		Stated:         func(s pool.Stated) { h.recordStated(name, v, s) },
 	})
 	return v
 }
@@ -177,10 +178,11 @@
 // may wait for the next turn at such a server meanwhile.
 func (s *service) updateMaxRunning() {
 	maxRunning, waiting := 0.0, 0.0
+	now := time.Now()
 	for _, t := range s.picker.Targets() {
 		// The picker may already follow a newer release than s.
 		v := s.servers[t.Addr()]
-		if v == nil || t.Weight() <= 0 {
+		if v == nil || t.Weight() <= 0 || !t.Rate().Hold().Allows(now) {
 			continue
 		}
 		concurrency := float64(v.limit.Limit())
