roster: a server whose entry is missing is given up a little sooner

The platform had turned the VM away until just before it, so the VM took the removal for a lapse and kept the server for the whole grace period from the moment at which it saw the removal.

Change: from when an entry is found missing, its server is kept for nine tenths of the grace period at most, which leaves time for what happened before that.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -22,6 +22,10 @@
 	missedBeats = 3
 	// lapseSlack is how much longer an entry may stay after these.
 	lapseSlack = time.Second
+	// keptShare is the share of the grace period for which a server is kept after its entry is
+	// found missing: the entry may have been removed a little before that, because the server
+	// has left.
+	keptShare = 0.9
 	// departureMemory is how long servers that have left are remembered: copies of the
 	// store are some seconds old.
 	departureMemory = 2 * time.Minute
@@ -213,13 +217,21 @@
 		if _, missing := r.missing[id]; missing {
 			return None
 		}
-		r.missing[id] = r.graceEnd
+		r.missing[id] = r.keptUntil(now)
 		return Kept
 	}
 	r.depart(now, e)
 	return Removed
 }
 
+// keptUntil returns when a server is given up whose entry is found missing now.
+func (r *Roster) keptUntil(now time.Time) time.Time {
+	if end := now.Add(time.Duration(keptShare * float64(r.grace))); end.Before(r.graceEnd) {
+		return end
+	}
+	return r.graceEnd
+}
+
 // depart removes a server and remembers it.
 func (r *Roster) depart(now time.Time, e Entry) {
 	r.Drop(e.id)
