roster, limit: departures are forgotten in passing; a longer hold updates the queue at its end

Remembering a departure looked at all others each time, so that many servers that left at once took time that grew with their square (16,384 in one go: TestDeparturesAreForgotten). When a hold was made longer, the queue of the service counted the server in again only with the next other change.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -29,6 +29,8 @@
 	// departureMemory is how long servers that have left are remembered: copies of the
 	// store are some seconds old.
 	departureMemory = 2 * time.Minute
+	// forgetInterval is how often older departures are looked for.
+	forgetInterval = 10 * time.Second
 	// maxDepartures bounds the servers that have left and are remembered.
 	maxDepartures = 1 << 14
 )
@@ -103,6 +105,7 @@
 	// ahead has the servers in a later state than the store, which has come back from a copy.
 	ahead    map[string]bool
 	away     bool // The store cannot be reached.
+	forgotAt time.Time
 	graceEnd time.Time
 	era      uint64
 }
@@ -235,7 +238,10 @@
 // depart removes a server and remembers it.
 func (r *Roster) depart(now time.Time, e Entry) {
 	r.Drop(e.id)
-	maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > departureMemory })
+	if now.Sub(r.forgotAt) >= forgetInterval {
+		r.forgotAt = now
+		maps.DeleteFunc(r.departed, func(_ string, d departure) bool { return now.Sub(d.at) > departureMemory })
+	}
 	if len(r.departed) < maxDepartures {
 		r.departed[e.id] = departure{entry: e, era: r.era, at: now}
 	}
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -189,6 +189,22 @@
 	}
 }
 
+// Guards against departures that are remembered for ever, and against time that grows with the
+// square of the servers that leave at once.
+func TestDeparturesAreForgotten(t *testing.T) {
+	r := New(grace, heartbeat)
+	for n, at0 := range []time.Duration{0, departureMemory / 2, 2 * departureMemory} {
+		for i := range maxDepartures / 2 {
+			id := fmt.Sprint(n, "-", i)
+			r.Put(epoch.Add(at0), entry(id, at(1, uint64(i+1)), 100, 1, true))
+			r.Remove(epoch.Add(at0), id)
+		}
+	}
+	if got, want := len(r.departed), maxDepartures/2; got != want {
+		t.Errorf("%d departures are remembered, want the %d of the last minutes", got, want)
+	}
+}
+
 // Guards against corrections of another VM that undo what a VM knows better, or that add
 // servers which the store does not have.
 func TestCorrectionsDoNotGoBack(t *testing.T) {
--- a/limit/hold.go
+++ b/limit/hold.go
@@ -36,18 +36,18 @@
 
 // StayAway holds all requests for d, at most MaxHold, and a little longer: spread, 0 to 1, is
 // the part of the spread between VMs. A hold that ends later stays. It reports whether the
-// requests were not held before.
-func (h *Hold) StayAway(now time.Time, d time.Duration, spread float64) bool {
+// requests were not held before, and when the hold ends.
+func (h *Hold) StayAway(now time.Time, d time.Duration, spread float64) (begins bool, end time.Time) {
 	d = min(d, MaxHold)
 	d += time.Duration(spread * float64(min(time.Duration(returnSpread*float64(d)), maxReturnSpread)))
-	end := now.Add(d)
+	end = now.Add(d)
 	for {
 		before := h.until.Load()
 		if before != nil && !end.After(*before) {
-			return false
+			return false, *before
 		}
 		if h.until.CompareAndSwap(before, &end) {
-			return before == nil || !now.Before(*before)
+			return before == nil || !now.Before(*before), end
 		}
 	}
 }
--- a/limit/hold_test.go
+++ b/limit/hold_test.go
@@ -31,15 +31,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		var r Rate
 		hold := r.Hold()
-		if !hold.StayAway(time.Now(), 2*time.Second, 0) {
-			t.Error("the hold is not new")
+		if begins, _ := hold.StayAway(time.Now(), 2*time.Second, 0); !begins {
+			t.Error("the hold does not begin")
 		}
-		if hold.StayAway(time.Now(), time.Second, 0) {
-			t.Error("a shorter hold is new")
+		if begins, end := hold.StayAway(time.Now(), time.Second, 0); begins || time.Until(end) != 2*time.Second {
+			t.Errorf("a shorter hold begins: %v, and ends in %v", begins, time.Until(end))
 		}
 		time.Sleep(time.Second)
-		if hold.StayAway(time.Now(), 2*time.Second, 0) {
-			t.Error("a longer hold is new while one is in effect")
+		if begins, end := hold.StayAway(time.Now(), 2*time.Second, 0); begins || time.Until(end) != 2*time.Second {
+			t.Errorf("a longer hold begins while one is in effect: %v, and ends in %v", begins, time.Until(end))
 		}
 		taken := map[string]int{}
 		for elapsed := time.Second; elapsed < 6*time.Second; elapsed += time.Millisecond {
@@ -62,8 +62,8 @@
 		if taken["held"] != 0 || taken["returning"] != int(returnTime/returnInterval) || taken["after"] != 2000 {
 			t.Errorf("requests by phase: %v", taken)
 		}
-		if !hold.StayAway(time.Now(), time.Second, 0) {
-			t.Error("a hold after the end of one is not new")
+		if begins, _ := hold.StayAway(time.Now(), time.Second, 0); !begins {
+			t.Error("a hold after the end of one does not begin")
 		}
 	})
 }
--- a/proxy/rate.go
+++ b/proxy/rate.go
@@ -76,22 +76,21 @@
 	line := func() *zerolog.Event {
 		return h.opts.Log.Info().Str("service", name).Str("server", v.note.Addr).Str("id", v.note.InstanceID)
 	}
-	changed := false
 	if s.Leaving && hold.Leave() {
-		changed = true
 		h.countStated(name, "leaving")
 		line().Msg("backend server states that it leaves")
+		h.updateMaxRunning(name)
+	}
+	if s.StayAway == 0 {
+		return
 	}
-	if s.StayAway > 0 && hold.StayAway(now, s.StayAway, rand.Float64()) {
-		changed = true
+	begins, end := hold.StayAway(now, s.StayAway, rand.Float64())
+	if begins {
 		h.countStated(name, "busy")
 		line().Dur("away", s.StayAway).Msg("backend server wants no requests for a while")
-		left, _ := hold.Left(now)
-		time.AfterFunc(left, func() { h.updateMaxRunning(name) })
-	}
-	if changed {
 		h.updateMaxRunning(name)
 	}
+	time.AfterFunc(end.Sub(now), func() { h.updateMaxRunning(name) })
 }
 
 func (h *Handler) countStated(name, state string) {
