--- a/internal/fleet/feed/feed.go
+++ b/internal/fleet/feed/feed.go
@@ -10,7 +10,6 @@
 import (
 	"bytes"
 	"compress/flate"
-	"context"
 	"io"
 	"maps"
 	"slices"
@@ -295,27 +294,6 @@
 	return slices.Collect(maps.Values(l.objects)), l.known
 }
 
-// CorrectionsReply returns the reply to a pull of corrections: changes that the platform's
-// store lacks, as it has come back from a copy.
-func CorrectionsReply(changes []Change) *wire.Changes {
-	packed, err := pack(changes)
-	if err != nil {
-		return &wire.Changes{} // The other VM asks a third one, or waits for the store.
-	}
-	return &wire.Changes{Changes: packed}
-}
-
-// PullCorrections asks the VM at addr for its corrections of a kind.
-func PullCorrections(ctx context.Context, fleet Fleet, addr, kind string) ([]Change, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	reply, err := fleet.Pull(ctx, addr, &wire.Pull{Feed: kind, Corrections: true})
-	if err != nil {
-		return nil, err
-	}
-	return unpack(reply.GetChanges())
-}
-
 // maxUnpackedBytes bounds the changes of one reply.
 const maxUnpackedBytes = 16 << 20
 
