--- a/strict/strict.go
+++ b/strict/strict.go
@@ -254,7 +254,7 @@
 // fieldIndex returns the index of the field with the given JSON name.
 func fieldIndex(t reflect.Type, name string) (int, bool) {
 	for i := range t.NumField() {
-		if tagName(t.Field(i)) == name {
+		if f := t.Field(i); isDecoded(f) && tagName(f) == name {
 			return i, true
 		}
 	}
@@ -264,11 +264,16 @@
 func fieldNames(t reflect.Type) []string {
 	out := make([]string, 0, t.NumField())
 	for i := range t.NumField() {
-		out = append(out, tagName(t.Field(i)))
+		if f := t.Field(i); isDecoded(f) {
+			out = append(out, tagName(f))
+		}
 	}
 	return out
 }
 
+// isDecoded reports whether a field is part of the JSON form of its struct.
+func isDecoded(f reflect.StructField) bool { return f.Tag.Get("json") != "-" }
+
 func tagName(f reflect.StructField) string {
 	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 	return name
@@ -296,6 +301,9 @@
 
 func appendFields(t reflect.Type, prefix string, out *[]Field) {
 	for i := range t.NumField() {
+		if !isDecoded(t.Field(i)) {
+			continue
+		}
 		path, ft := prefix+tagName(t.Field(i)), t.Field(i).Type
 		if ft.Kind() == reflect.Slice {
 			path, ft = path+"[]", ft.Elem()
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -67,3 +67,20 @@
 	fmt.Println(Decode("note", []byte(`{"floor":"ten"}`), 1<<10, &v)[0])
 	// Output: floor: "ten" is not allowed; allowed: a number
 }
+
+// Guards against a field that is not part of the format and can be set, or is listed in the
+// pages, by the name "-".
+func TestFieldOutsideTheFormat(t *testing.T) {
+	type withHidden struct {
+		Name   string `json:"name"`
+		Hidden int    `json:"-"`
+	}
+	var v withHidden
+	ps := Decode("$", []byte(`{"name":"a","-":7}`), 1<<10, &v)
+	if len(ps) != 1 || ps[0].Path() != "-" || v.Hidden != 0 {
+		t.Errorf("problems %v, hidden field %d", ps, v.Hidden)
+	}
+	if fields := Fields(v); len(fields) != 1 || fields[0].Path() != "name" {
+		t.Errorf("fields %v", fields)
+	}
+}
