pool, proxy: log which request a backend server had when it ended

The logs could not tell a request that crashes its servers from crashes that spread by load. Attempts that lose their connection now check whether the process has ended and log a keyed digest of the request.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -24,6 +24,7 @@
 	"github.com/azuredeal/azuredeal/deploy"
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/internal/fleet/feed"
 	"github.com/azuredeal/azuredeal/member"
 	"github.com/azuredeal/azuredeal/note"
@@ -59,7 +60,7 @@
 	do.Provide(i, func(do.Injector) (*board.Board, error) {
 		return board.New(v.health.controller(), v.rates.controller()), nil
 	})
-	do.Provide(i, v.newProxy)
+	do.Provide(i, func(do.Injector) (*proxy.Handler, error) { return v.newProxy(ctx), nil })
 	do.Provide(i, v.newPeer)
 	do.Provide(i, v.newMemberDriver)
 	self := idem.NewOwner(v.incarnation, v.PeerAddr())
@@ -93,7 +94,7 @@
 	v.probes = newProbes(ctx, prober)
 }
 
-func (v *VM) newProxy(do.Injector) (*proxy.Handler, error) {
+func (v *VM) newProxy(ctx context.Context) *proxy.Handler {
 	// The board and the guard are used for every request, so they are looked up once.
 	control := component[*board.Board](v)
 	opts := proxy.Options{
@@ -104,6 +105,8 @@
 		BodyReadTimeout: v.settings.Limits.ReadTime.Std(),
 		Sample:          func(s board.Sample) { control.Post(s) },
 		StatedRate:      func(r board.StatedRate) { control.PostRate(r) },
+		Hasher:          crash.NewHasher([]byte(v.settings.Peer.Secret)),
+		Background:      ctx,
 		Metrics:         component[*metrics.Set](v),
 		Log:             v.log,
 	}
@@ -117,7 +120,7 @@
 		opts.Zone = v.settings.Zone
 		opts.ConnectTimeout = connectTimeout
 	}
-	return proxy.New(opts), nil
+	return proxy.New(opts)
 }
 
 func (v *VM) newPeer(do.Injector) (*peer.Peer, error) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -59,6 +59,8 @@
 	waiting   waitList
 	idleTimer *time.Timer
 	closed    bool
+
+	endCheck endCheck
 }
 
 // New returns a pool for the backend server at addr ("ip:port").
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -372,7 +372,10 @@
 		Header: maps.Clone(c.header), ID: id, Echo: c.service.note.Echo,
 		// A retry must not reuse an idle connection that the same fault has broken.
 		RequireNewConn: !c.repeatable || resp.index > 0,
-		OnEnd:          func(s board.Sample) { resp.took, resp.outcome = s.Took, s.Outcome },
+		OnEnd: func(s board.Sample) {
+			resp.took, resp.outcome = s.Took, s.Outcome
+			d.call.observeEnd(resp.server, s)
+		},
 		AllowSend: func() bool {
 			// Another response may have stated since the pick that the server wants nothing.
 			held = !resp.server.rate.bound.Hold().Allows(time.Now())
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -10,10 +10,12 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/limit"
 )
 
@@ -40,6 +42,9 @@
 	status     int           // Of the response; 0 when the call failed.
 	queueTime  time.Duration // Time spent waiting in the queue.
 	attempts   []attemptLog
+
+	digestOnce  sync.Once
+	knownDigest crash.Digest // Valid once digestOnce is done.
 }
 
 // prepareCall validates a request, charges its account and reads its body. An error
--- a/proxy/count.go
+++ b/proxy/count.go
@@ -20,6 +20,7 @@
 	aborted   *metrics.Counter
 	retries   *metrics.Counter
 	hedges    *metrics.Counter
+	crashes   *metrics.Counter                  // Attempts whose server process ended.
 	duration  *metrics.Histogram                // Request duration from the end of the header, in seconds.
 	faults    []atomic.Pointer[metrics.Counter] // By fault.Kind.
 	outcomes  []atomic.Pointer[metrics.Counter] // By board.Outcome.
@@ -37,6 +38,7 @@
 	c.aborted = c.getCounter("aborted", "")
 	c.retries = c.getCounter("retries", "")
 	c.hedges = c.getCounter("hedges", "")
+	c.crashes = c.getCounter("crashes", "")
 	c.duration = set.GetOrCreateHistogram(fmt.Sprintf("azuredeal_request_seconds{service=%q}", service))
 	return c
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -20,6 +20,7 @@
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pick"
@@ -63,6 +64,11 @@
 	// StatedRate receives the request rates that backend servers state, and Unlimited when
 	// one that has stated a rate no longer does. It must not block.
 	StatedRate func(board.StatedRate)
+	// Hasher computes the digests by which requests are known; its secret is the same on all VMs
+	// of the fleet. Nil means that requests that crash backend servers are not looked for.
+	Hasher *crash.Hasher
+	// Background ends the checks of backend servers that outlive requests; never by default.
+	Background context.Context //nolint:containedctx // The handler has no other lifetime.
 	// RunOnce runs a request with an idempotency key at most once. The default runs
 	// every request.
 	RunOnce func(ctx context.Context, c idem.Call, run idem.RunFunc) (*idem.Response, error)
@@ -113,6 +119,9 @@
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
+	if opts.Background == nil {
+		opts.Background = context.Background()
+	}
 	if opts.RunOnce == nil {
 		opts.RunOnce = func(ctx context.Context, _ idem.Call, run idem.RunFunc) (*idem.Response, error) { return run(ctx) }
 	}
--- a/proxy/trace.go
+++ b/proxy/trace.go
@@ -71,6 +71,9 @@
 			Uint64("generation", c.generation).Dur("limit", c.deadline.Sub(start)).Dur("waited", c.queueTime).
 			Array("attempts", attemptLogs(c.attempts))
 	}
+	if c != nil && err != nil && len(c.attempts) > 0 && h.opts.Hasher != nil {
+		event = event.Stringer("request", c.digest())
+	}
 	if err != nil {
 		event.Stringer("fault", fault.KindOf(err)).Err(err).Msg("request refused")
 		return
