crash, proxy, member, entry: requests that crash backend servers are put in quarantine

Cause: nothing knew a request by what it asks for, so each call of it was new to the VM that got it, and the second attempt of a call followed the first crash at once.

An attempt that loses its connection checks whether the server process has ended; the processes that ended under a request are told to all VMs as a state that merges in any order. After the first crash copies wait until it has settled, hedges and further repeats stop, and after the third process the request is refused with Quarantined, which is truly not run. A response that is whole clears it. Three trials at most, by the one VM that all can name, 10 min, 1 h and 6 h later.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -78,6 +78,12 @@
 	v.rates.attempts, v.rates.setRate, v.rates.grant = proxyHandler.LimitedAttempts, proxyHandler.SetRate, proxyHandler.GrantTrial
 	v.rates.tell = func(rates []*wire.Rate, urgent bool) { component[*member.Driver](v).QueueRates(rates, urgent) }
 	v.health.sendEvents = func(events []*wire.Event, urgent bool) { component[*member.Driver](v).QueueEvents(events, urgent) }
+	v.suspects.tell = func(suspects []*wire.Suspect, relay bool) {
+		component[*member.Driver](v).QueueSuspects(suspects, relay)
+	}
+	v.suspects.isAlive = func() []string {
+		return lo.Map(component[*member.Driver](v).Snapshot().Alive(), func(m member.Member, _ int) string { return m.ID() })
+	}
 	v.callerAPI = v.newCallerAPI()
 	handler := v.callerAPI.handler()
 	if v.opts.ReleaseSource != nil {
@@ -105,6 +111,7 @@
 		BodyReadTimeout: v.settings.Limits.ReadTime.Std(),
 		Sample:          func(s board.Sample) { control.Post(s) },
 		StatedRate:      func(r board.StatedRate) { control.PostRate(r) },
+		Crashes:         v.suspects.table,
 		Hasher:          crash.NewHasher([]byte(v.settings.Peer.Secret)),
 		Background:      ctx,
 		Metrics:         component[*metrics.Set](v),
@@ -199,6 +206,8 @@
 		OnRates: func(rates []*wire.Rate) {
 			_ = b.Do(context.Background(), func(now time.Time) { v.rates.merge(now, rates) })
 		},
+		Suspects:       v.suspects.forNewLink,
+		OnSuspects:     func(received []*wire.Suspect) { v.suspects.merge(time.Now(), received) },
 		FullMeshMaxVMs: v.settings.Peer.FullMeshMaxVMs,
 		OnChange:       v.logMemberChange,
 		OnReplaced:     func() { v.Drain() },
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -28,6 +28,7 @@
 	Members         member.Dump              `json:"members"`
 	Health          map[string][]ServerState `json:"health"`
 	Traffic         []proxy.ServiceDump      `json:"traffic"`
+	Suspects        []SuspectDump            `json:"suspects,omitempty"` // Requests that may crash backend servers.
 }
 
 // BoardDump is the state of the control loop.
@@ -55,6 +56,7 @@
 		Members:         component[*member.Driver](v).Dump(),
 		Health:          health,
 		Traffic:         component[*proxy.Handler](v).Dump(),
+		Suspects:        v.suspects.dump(time.Now()),
 	}
 	if v.opts.ReleaseSource == nil {
 		out.Release = lo.ToPtr(component[*deploy.Follower](v).Dump())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,7 @@
 	listeners   listeners
 	components  do.Injector
 	health      *monitor
+	suspects    *suspects
 	rates       *rates
 	callerAPI   *callerAPI
 	probes      *probes
@@ -123,6 +124,7 @@
 	}
 	v.health = newMonitor(v.log, counters, v.incarnation)
 	v.rates = newRates(v.log, counters, settings.Name, v.incarnation)
+	v.suspects = newSuspects(v.log, counters, settings.Name)
 	v.assemble(ctx, counters)
 	return v, nil
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -51,6 +51,8 @@
 	Unreachable
 	// ServerRefused: the backend server refused the request before it started it.
 	ServerRefused
+	// Quarantined: requests like this one have crashed backend servers, and it was not sent.
+	Quarantined
 	// KeyMissing: the route is not idempotent and the request has no
 	// Idempotency-Key.
 	KeyMissing
@@ -153,6 +155,7 @@
 	NoServer:       {http.StatusServiceUnavailable, No, true, "no backend server is usable"},
 	Unreachable:    {http.StatusServiceUnavailable, No, true, "no backend server could be reached"},
 	ServerRefused:  {http.StatusServiceUnavailable, No, true, "the backend server refused before starting"},
+	Quarantined:    {http.StatusServiceUnavailable, No, false, "requests like this one have crashed backend servers"},
 	KeyMissing:     {http.StatusPreconditionRequired, No, false, "the route needs an Idempotency-Key"},
 	KeyInvalid:     {http.StatusBadRequest, No, false, "the Idempotency-Key is malformed"},
 	KeyReused:      {http.StatusUnprocessableEntity, No, false, "the Idempotency-Key was used with another request"},
--- a/fault/fault_string.go
+++ b/fault/fault_string.go
@@ -23,29 +23,30 @@
 	_ = x[NoServer-12]
 	_ = x[Unreachable-13]
 	_ = x[ServerRefused-14]
-	_ = x[KeyMissing-15]
-	_ = x[KeyInvalid-16]
-	_ = x[KeyReused-17]
-	_ = x[KeyExpired-18]
-	_ = x[OwnerLost-19]
-	_ = x[ClaimFailed-20]
-	_ = x[AnswerDropped-21]
-	_ = x[Interrupted-22]
-	_ = x[Timeout-23]
-	_ = x[Truncated-24]
-	_ = x[Mismatch-25]
-	_ = x[AnswerTooLarge-26]
-	_ = x[Canceled-27]
-	_ = x[Conflict-28]
-	_ = x[Invalid-29]
-	_ = x[PlatformDown-30]
-	_ = x[Unauthorized-31]
-	_ = x[kindCount-32]
+	_ = x[Quarantined-15]
+	_ = x[KeyMissing-16]
+	_ = x[KeyInvalid-17]
+	_ = x[KeyReused-18]
+	_ = x[KeyExpired-19]
+	_ = x[OwnerLost-20]
+	_ = x[ClaimFailed-21]
+	_ = x[AnswerDropped-22]
+	_ = x[Interrupted-23]
+	_ = x[Timeout-24]
+	_ = x[Truncated-25]
+	_ = x[Mismatch-26]
+	_ = x[AnswerTooLarge-27]
+	_ = x[Canceled-28]
+	_ = x[Conflict-29]
+	_ = x[Invalid-30]
+	_ = x[PlatformDown-31]
+	_ = x[Unauthorized-32]
+	_ = x[kindCount-33]
 }
 
-const _Kind_name = "InternalNotReadyStoppingNoRouteBadRequestHeaderTooLargeBodyTooLargeBodyTimeoutUnknownAccountAccountLimitedQueueFullDeadlineShortNoServerUnreachableServerRefusedKeyMissingKeyInvalidKeyReusedKeyExpiredOwnerLostClaimFailedAnswerDroppedInterruptedTimeoutTruncatedMismatchAnswerTooLargeCanceledConflictInvalidPlatformDownUnauthorizedkindCount"
+const _Kind_name = "InternalNotReadyStoppingNoRouteBadRequestHeaderTooLargeBodyTooLargeBodyTimeoutUnknownAccountAccountLimitedQueueFullDeadlineShortNoServerUnreachableServerRefusedQuarantinedKeyMissingKeyInvalidKeyReusedKeyExpiredOwnerLostClaimFailedAnswerDroppedInterruptedTimeoutTruncatedMismatchAnswerTooLargeCanceledConflictInvalidPlatformDownUnauthorizedkindCount"
 
-var _Kind_index = [...]uint16{0, 8, 16, 24, 31, 41, 55, 67, 78, 92, 106, 115, 128, 136, 147, 160, 170, 180, 189, 199, 208, 219, 232, 243, 250, 259, 267, 281, 289, 297, 304, 316, 328, 337}
+var _Kind_index = [...]uint16{0, 8, 16, 24, 31, 41, 55, 67, 78, 92, 106, 115, 128, 136, 147, 160, 171, 181, 191, 200, 210, 219, 230, 243, 254, 261, 270, 278, 292, 300, 308, 315, 327, 339, 348}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -67,6 +67,7 @@
 	}
 	clear(l.events)
 	h.Rates = v.queuedRates(now, l)
+	v.addSuspects(now, l, h)
 	return h
 }
 
--- a/member/link.go
+++ b/member/link.go
@@ -56,6 +56,7 @@
 	reports               reportQueue
 	events                map[uint32]*wire.Event // By backend server.
 	rates                 map[uint64]bool        // Backend servers whose stated rates are queued.
+	suspects              map[uint64]queuedSuspect
 }
 
 // pendingRecord is a record in the send queue of a link.
--- a/member/service.go
+++ b/member/service.go
@@ -53,6 +53,11 @@
 	OnEvents func(events []*wire.Event)
 	// OnRates receives the request rates that backend servers stated to a linked VM.
 	OnRates func(rates []*wire.Rate)
+	// Suspects returns the requests that may crash backend servers, for a VM that has just been
+	// linked.
+	Suspects func() []*wire.Suspect
+	// OnSuspects receives what a linked VM knows of such requests.
+	OnSuspects func(suspects []*wire.Suspect)
 	// OnNewerGeneration is called for each heartbeat of a peer whose release has a
 	// higher generation than Generation returns.
 	OnNewerGeneration func(peer *wire.Member, generation uint64)
@@ -184,10 +189,7 @@
 	}
 	d.mu.Unlock()
 	if urgent {
-		select {
-		case d.wake <- struct{}{}:
-		default:
-		}
+		d.wakeUp()
 	}
 }
 
@@ -201,10 +203,24 @@
 	}
 	d.mu.Unlock()
 	if urgent {
-		select {
-		case d.wake <- struct{}{}:
-		default:
-		}
+		d.wakeUp()
+	}
+}
+
+// QueueSuspects sends requests that may crash backend servers to linked VMs: immediately what
+// this VM found itself, and with relay set what another VM has told it.
+func (d *Driver) QueueSuspects(suspects []*wire.Suspect, relay bool) {
+	d.mu.Lock()
+	d.view.QueueSuspects(time.Now(), suspects, relay)
+	d.mu.Unlock()
+	d.wakeUp()
+}
+
+// wakeUp makes Run send the heartbeats that are due.
+func (d *Driver) wakeUp() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -226,6 +242,10 @@
 // closes a link that the view refuses.
 func (d *Driver) OnLink(l *peer.Link, up bool) {
 	d.beforeStep()
+	var suspects []*wire.Suspect
+	if up && d.opts.Suspects != nil {
+		suspects = d.opts.Suspects()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -243,6 +263,9 @@
 	}
 	d.links[id] = l
 	d.linkIDs[l] = id
+	for _, s := range suspects {
+		d.view.link(id).queueSuspect(now, s)
+	}
 }
 
 // OnHeartbeat merges a received heartbeat and calls the handlers of Options.
@@ -255,12 +278,7 @@
 	}
 	reports := d.view.PopReceivedReports()
 	d.mu.Unlock()
-	if len(h.GetEvents()) > 0 && d.opts.OnEvents != nil {
-		d.opts.OnEvents(h.GetEvents())
-	}
-	if len(h.GetRates()) > 0 && d.opts.OnRates != nil {
-		d.opts.OnRates(h.GetRates())
-	}
+	d.passOn(h)
 	if ok && d.opts.OnNewerRoster != nil && h.GetRoster() > d.opts.Roster() {
 		d.opts.OnNewerRoster(l.Remote(), h.GetRoster())
 	}
@@ -272,6 +290,19 @@
 	}
 }
 
+// passOn calls the handlers of what a heartbeat says of backend servers and requests.
+func (d *Driver) passOn(h *wire.Heartbeat) {
+	if len(h.GetEvents()) > 0 && d.opts.OnEvents != nil {
+		d.opts.OnEvents(h.GetEvents())
+	}
+	if len(h.GetRates()) > 0 && d.opts.OnRates != nil {
+		d.opts.OnRates(h.GetRates())
+	}
+	if len(h.GetSuspects()) > 0 && d.opts.OnSuspects != nil {
+		d.opts.OnSuspects(h.GetSuspects())
+	}
+}
+
 // Run drives the view until ctx ends and returns the context's error.
 func (d *Driver) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
--- a/member/view.go
+++ b/member/view.go
@@ -100,18 +100,19 @@
 
 // View is one VM's view of the fleet. It is not safe for concurrent use.
 type View struct {
-	self        *record
-	members     map[string]*record
-	ring        []*record // All records, sorted by hash, then id.
-	tombstones  map[string]tombstone
-	links       []*link // In order of creation.
-	lastLinkID  LinkID
-	dialTargets map[string]*dialTarget
-	seeds       []string
-	discovered  []discoveredVM
-	reports     reportTable
-	rates       map[uint64]rateEntry // By backend server.
-	rng         *rand.Rand
+	self         *record
+	members      map[string]*record
+	ring         []*record // All records, sorted by hash, then id.
+	tombstones   map[string]tombstone
+	links        []*link // In order of creation.
+	lastLinkID   LinkID
+	dialTargets  map[string]*dialTarget
+	seeds        []string
+	discovered   []discoveredVM
+	reports      reportTable
+	rates        map[uint64]rateEntry // By backend server.
+	suspectBytes suspectBucket
+	rng          *rand.Rand
 
 	fullMeshMaxVMs int  // Number of members up to which all are chosen as peers.
 	zoneSharing    bool // VMs share backend servers with their neighbours in the availability zone.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/idem"
+	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/pick"
 	"github.com/azuredeal/azuredeal/pool"
@@ -31,6 +32,11 @@
 // must be closed. With bufferAll set, the response is buffered to the end, whatever
 // its length.
 func (c *call) execute(ctx context.Context, bufferAll bool) (*response, error) {
+	done, err := c.admitSuspect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
 	admission := limit.Request{Class: c.class, Account: c.account, Deadline: c.deadline}
 	queuedAt := time.Now()
 	release, err := c.service.queue.Acquire(ctx, admission)
@@ -90,6 +96,8 @@
 	weight float64 // Weight of the server when it was picked.
 	cancel context.CancelFunc
 	ended  bool // Its result was received.
+	// process is the server process that the attempt was meant for.
+	process crash.Process
 }
 
 // dispatch sends the attempts of one call and selects the response.
@@ -197,7 +205,7 @@
 	if d.pending > 0 {
 		return nil, nil, false
 	}
-	if d.mayRetry(r.err) && d.retry(r.err) {
+	if d.mayRetry(r) && d.retry(r.err) {
 		d.call.service.counters.retries.Inc()
 		return nil, nil, false
 	}
@@ -234,19 +242,22 @@
 	d.failedResponse = resp
 }
 
-// mayRetry reports whether another attempt is allowed after one that ended with
-// err, or with a server error response when err is nil.
-func (d *dispatch) mayRetry(err error) bool {
+// mayRetry reports whether another attempt is allowed after one that ended with an error, or
+// with a server error response.
+func (d *dispatch) mayRetry(r result) bool {
 	if d.ctx.Err() != nil {
 		return false
 	}
+	err := r.err
 	if err == nil {
 		return true
 	}
 	switch kind := fault.KindOf(err); kind {
 	case fault.Unreachable, fault.ServerRefused, fault.NoServer:
 		return true
-	case fault.Interrupted, fault.Truncated, fault.Mismatch:
+	case fault.Interrupted, fault.Truncated:
+		return d.call.repeatable && d.call.mayRepeatAfter(d.launched[r.index].process)
+	case fault.Mismatch:
 		return d.call.repeatable
 	case fault.AnswerTooLarge:
 		// A body that is too large is the answer of every server.
@@ -293,7 +304,7 @@
 	index := len(d.tried)
 	ctx, cancel := context.WithCancel(d.ctx)
 	d.tried = append(d.tried, v.target)
-	d.launched = append(d.launched, launched{start: time.Now(), weight: v.target.Weight(), cancel: cancel})
+	d.launched = append(d.launched, launched{start: time.Now(), weight: v.target.Weight(), cancel: cancel, process: v.process})
 	d.pending++
 	v.target.SetLastBegin(time.Now())
 	v.target.Begin() // Counted here, as the next pick may happen before the goroutine starts.
@@ -367,6 +378,7 @@
 		id = c.id
 	}
 	sent, held := false, false
+	var barred error
 	req := &pool.Request{
 		Method: c.method, Host: c.host, Target: c.target, Body: c.body,
 		Header: maps.Clone(c.header), ID: id, Echo: c.service.note.Echo,
@@ -379,7 +391,8 @@
 		AllowSend: func() bool {
 			// Another response may have stated since the pick that the server wants nothing.
 			held = !resp.server.rate.bound.Hold().Allows(time.Now())
-			sent = !held && d.allowSend(ctx)
+			barred = c.checkBarred()
+			sent = !held && barred == nil && d.allowSend(ctx)
 			return sent
 		},
 	}
@@ -395,6 +408,9 @@
 		return nil
 	}
 	resp.close()
+	if barred != nil {
+		return barred
+	}
 	if held {
 		return fault.New(fault.Unreachable, "%s wants no requests now", resp.server.note.Addr)
 	}
@@ -474,7 +490,7 @@
 // timer and tries again later: otherwise an attempt at a stalled server would wait
 // until its deadline, although the budget recovers much earlier.
 func (d *dispatch) hedge(timer *time.Timer) {
-	if d.pending != 1 || len(d.tried) > 1 {
+	if d.pending != 1 || len(d.tried) > 1 || !d.call.mayHedge() {
 		return
 	}
 	if !d.tryWithdraw() {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -45,6 +45,7 @@
 
 	digestOnce  sync.Once
 	knownDigest crash.Digest // Valid once digestOnce is done.
+	isTrial     bool         // The request is in quarantine and sent nevertheless.
 }
 
 // prepareCall validates a request, charges its account and reads its body. An error
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -64,8 +64,11 @@
 	// StatedRate receives the request rates that backend servers state, and Unlimited when
 	// one that has stated a rate no longer does. It must not block.
 	StatedRate func(board.StatedRate)
+	// Crashes knows the requests that may crash the servers that run them. Nil means that they
+	// are not looked for.
+	Crashes *crash.Table
 	// Hasher computes the digests by which requests are known; its secret is the same on all VMs
-	// of the fleet. Nil means that requests that crash backend servers are not looked for.
+	// of the fleet. Required with Crashes.
 	Hasher *crash.Hasher
 	// Background ends the checks of backend servers that outlive requests; never by default.
 	Background context.Context //nolint:containedctx // The handler has no other lifetime.
--- a/proxy/service.go
+++ b/proxy/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/azuredeal/azuredeal/board"
+	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pick"
@@ -28,6 +29,9 @@
 	limit  *limit.Adaptive
 	pool   *pool.Pool
 	rate   *rateState
+
+	process   crash.Process
+	abandoned *abandoned
 }
 
 // begin reports whether an attempt may start within the concurrency limit and the rate of the
@@ -122,7 +126,10 @@
 	if old != nil && (old.note.InstanceID != n.InstanceID || old.note.Start != n.Start) {
 		old = nil // Another process now uses the address.
 	}
-	v := &server{note: n, target: pick.NewTarget(n.Addr, n.Zone, n.Slots)}
+	v := &server{
+		note: n, target: pick.NewTarget(n.Addr, n.Zone, n.Slots),
+		process: crash.ProcessOf(name, n.Addr, n.InstanceID, n.Start), abandoned: &abandoned{},
+	}
 	v.rate = &rateState{bound: v.target.Rate()}
 	if old != nil && old.note.Slots == n.Slots {
 		v.limit = old.limit
@@ -132,7 +139,7 @@
 	if old != nil {
 		v.target.SetWeight(old.target.Weight())
 		v.target.ShareRate(old.target)
-		v.rate = old.rate
+		v.rate, v.abandoned = old.rate, old.abandoned
 	}
 	if old != nil && old.note.Conns == n.Conns {
 		v.pool = old.pool
