--- a/cmd/azuredeal/serve.go
+++ b/cmd/azuredeal/serve.go
@@ -99,6 +99,7 @@
 	}
 	cancelJoin()
 	settings.Peer.Secret = secret
+	suspects := platform.NewSuspectStore(client, log)
 	counters := metrics.NewSet()
 	releaseSource := platform.NewReleaseSource(client, settings.Platform, feed.Fleet{
 		Size:     func() int { return vm.FleetSize() },
@@ -117,6 +118,8 @@
 		ObservePeerPositions: releaseSource.ObservePeerPositions,
 		ServePull:            releaseSource.ServePull,
 		DiscoverVMs:          registry.ListVMs,
+		SaveSuspect:          suspects.Save,
+		LoadSuspects:         suspects.Load,
 		Incarnation:          incarnation,
 		Metrics:              counters,
 	})
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -5,18 +5,22 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/azuredeal/azuredeal/caller"
 	"github.com/azuredeal/azuredeal/conf"
+	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pool"
 )
@@ -103,14 +107,44 @@
 
 // startFleet runs VMs that use the servers, and returns them when they know each other.
 func startFleet(t *testing.T, vms int, servers []string) []*VM {
+	t.Helper()
+	fleet, _ := startStoppableFleet(t, vms, servers, &keptSuspects{})
+	return fleet
+}
+
+// keptSuspects keeps suspicions in place of the platform.
+type keptSuspects struct {
+	mu     sync.Mutex
+	states map[crash.Digest]crash.State
+}
+
+func (k *keptSuspects) save(_ context.Context, s crash.State) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.states == nil {
+		k.states = map[crash.Digest]crash.State{}
+	}
+	k.states[s.Request] = s
+	return nil
+}
+
+func (k *keptSuspects) load(context.Context) ([]crash.State, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Collect(maps.Values(k.states)), nil
+}
+
+// startStoppableFleet is startFleet with the suspicions that the platform keeps. stop ends the
+// VMs.
+func startStoppableFleet(t *testing.T, vms int, servers []string, kept *keptSuspects) (fleet []*VM, stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
-	t.Cleanup(func() {
+	stop = func() {
 		cancel()
 		running.Wait()
-	})
-	var fleet []*VM
+	}
+	t.Cleanup(stop)
 	for i := range vms {
 		settings := conf.Default()
 		settings.Name, settings.Zone = fmt.Sprintf("vm-%d", i+1), "z"
@@ -120,7 +154,7 @@
 			settings.Peer.Seeds = []string{fleet[0].PeerAddr()}
 		}
 		vm, err := New(ctx, settings, Options{
-			Log: zerolog.Nop(), Dialect: pool.DefaultDialect(),
+			Log: zerolog.Nop(), Dialect: pool.DefaultDialect(), SaveSuspect: kept.save, LoadSuspects: kept.load,
 			ReleaseSource: func(ctx context.Context, apply func(*note.Release, caller.Limits)) error {
 				apply(fragileRelease(servers), caller.Limits{
 					HeaderBytes: 1 << 12, BodyBytes: 1 << 10, ReadTime: time.Minute, IdleTime: time.Minute, Conns: 100,
@@ -144,7 +178,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	return fleet
+	return fleet, stop
 }
 
 func fragileRelease(servers []string) *note.Release {
@@ -216,3 +250,40 @@
 		})
 	}
 }
+
+// Guards against a request that crashes servers anew after the VMs that knew it were replaced: by
+// a VM that starts beside others, and by all VMs after a restart of the whole fleet.
+func TestQuarantineOutlastsRestarts(t *testing.T) {
+	servers, kept := newFragileServers(t, 20), &keptSuspects{}
+	quarantine := func(vm *VM) bool {
+		resp := ask(t, http.MethodGet, vm.EntryAddr(), deadlyPath)
+		return resp.Header.Get("Azuredeal-Error") == "Quarantined"
+	}
+	fleet, stop := startStoppableFleet(t, 2, servers.addrs, kept)
+	for !quarantine(fleet[0]) {
+	}
+	delivered := servers.delivered.Load()
+	if n := len(fleet[1].suspects.dump(time.Now())); n == 0 {
+		t.Error("nothing in the dump of the other VM")
+	}
+	for states, _ := kept.load(t.Context()); len(states) == 0; states, _ = kept.load(t.Context()) {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	fleet, _ = startStoppableFleet(t, 2, servers.addrs, kept)
+	for _, vm := range fleet {
+		if !quarantine(vm) {
+			t.Error("sent after the restart of all VMs")
+		}
+	}
+	if n := servers.delivered.Load(); n != delivered {
+		t.Errorf("%d deliveries after the quarantine", n-delivered)
+	}
+
+	// What a VM that is linked for the first time is told.
+	newcomer := newSuspects(zerolog.Nop(), metrics.NewSet(), "vm-9")
+	newcomer.merge(time.Now(), fleet[0].suspects.forNewLink())
+	if _, quarantined := newcomer.table.Counts(); quarantined != 1 {
+		t.Errorf("%d requests in quarantine at a VM that was just linked", quarantined)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/azuredeal/azuredeal/caller"
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/deploy"
+	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/internal/fleet/feed"
 	"github.com/azuredeal/azuredeal/internal/fleet/quota"
 	"github.com/azuredeal/azuredeal/member"
@@ -53,6 +54,10 @@
 	// DiscoverVMs returns the VMs of the fleet. Without a ReleaseSource the VM lists them
 	// from the platform of the settings instead.
 	DiscoverVMs func(ctx context.Context) ([]store.VM, error)
+	// SaveSuspect keeps a request that may crash backend servers where it outlasts all VMs, and
+	// LoadSuspects returns those that were kept. Set both or none.
+	SaveSuspect  func(ctx context.Context, s crash.State) error
+	LoadSuspects func(ctx context.Context) ([]crash.State, error)
 	// Incarnation identifies this start of the VM and must be higher than at all earlier
 	// ones; 0 derives it from the current time.
 	Incarnation uint64
@@ -125,6 +130,7 @@
 	v.health = newMonitor(v.log, counters, v.incarnation)
 	v.rates = newRates(v.log, counters, settings.Name, v.incarnation)
 	v.suspects = newSuspects(v.log, counters, settings.Name)
+	v.suspects.save, v.suspects.load = opts.SaveSuspect, opts.LoadSuspects
 	v.assemble(ctx, counters)
 	return v, nil
 }
@@ -285,6 +291,7 @@
 		group.Go(func() error { return component[*deploy.Follower](v).Run(work) })
 		group.Go(func() error { return v.runWatcherSelection(work) })
 	}
+	group.Go(func() error { return v.suspects.run(work) })
 	group.Go(func() error { return v.serveOperators(work) })
 	group.Go(func() error {
 		defer stop()
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -8,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/azuredeal/azuredeal/internal/fleet/crash"
+	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/wire"
 )
 
@@ -19,12 +22,16 @@
 	changes map[crash.Change]*metrics.Counter
 	isAlive func() []string // Ids of the VMs that this VM considers alive.
 	tell    func(suspects []*wire.Suspect, relay bool)
-	vm      string
+	// save and load keep what must outlast all VMs on the platform. Nil means that nothing is
+	// kept.
+	save    func(ctx context.Context, s crash.State) error
+	load    func(ctx context.Context) ([]crash.State, error)
+	unsaved chan crash.State
 }
 
 func newSuspects(log zerolog.Logger, counters *metrics.Set, vm string) *suspects {
 	s := &suspects{
-		log: log, vm: vm, changes: map[crash.Change]*metrics.Counter{},
+		log: log, unsaved: make(chan crash.State, maxUnsaved), changes: map[crash.Change]*metrics.Counter{},
 		isAlive: func() []string { return nil }, tell: func([]*wire.Suspect, bool) {},
 	}
 	s.table = crash.New(crash.Options{
@@ -47,10 +54,65 @@
 }
 
 // changed takes in a change that this VM made.
-func (s *suspects) changed(state crash.State, change crash.Change) {
+func (s *suspects) changed(before, after crash.State, change crash.Change) {
 	s.changes[change].Inc()
-	s.logState(state, change.String(), "own")
-	s.tell([]*wire.Suspect{suspectToWire(time.Now(), state)}, false)
+	s.logState(after, change.String(), "own")
+	s.tell([]*wire.Suspect{suspectToWire(time.Now(), after)}, false)
+	if s.save == nil || before.Quarantined() == after.Quarantined() && change != crash.Tried {
+		return
+	}
+	select {
+	case s.unsaved <- after:
+	default:
+		s.log.Warn().Stringer("request", after.Request).Msg("too many suspicions wait to be kept on the platform; not keeping this one")
+	}
+}
+
+const (
+	maxUnsaved = 256 // Suspicions that wait to be kept on the platform.
+	// minKeepBackoff and maxKeepBackoff bound the delay between two attempts to read or write
+	// what the platform keeps.
+	minKeepBackoff = 500 * time.Millisecond
+	maxKeepBackoff = 10 * time.Second
+)
+
+// run takes over what the platform has kept and keeps there what changes, until ctx ends.
+func (s *suspects) run(ctx context.Context) error {
+	if s.save == nil {
+		return nil
+	}
+	s.retry(ctx, "read kept suspicions", func() error {
+		kept, err := s.load(ctx)
+		if err == nil && len(kept) > 0 {
+			s.log.Info().Int("requests", len(s.table.Merge(time.Now(), kept))).Msg("took over kept suspicions")
+		}
+		return err
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case state := <-s.unsaved:
+			s.retry(ctx, "keep a suspicion", func() error { return s.save(ctx, state) })
+		}
+	}
+}
+
+// retry repeats a call to the platform until it succeeds or ctx ends. It logs the first failure.
+func (s *suspects) retry(ctx context.Context, what string, call func() error) {
+	backoff := limit.NewBackoff(minKeepBackoff, maxKeepBackoff, rand.Uint64())
+	for first := true; ; first = false {
+		err := call()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		if first {
+			s.log.Warn().Err(err).Msgf("cannot %s on the platform; retrying", what)
+		}
+		if backoff.Wait(ctx) != nil {
+			return
+		}
+	}
 }
 
 // merge takes in what another VM knows.
--- a/internal/fleet/crash/table.go
+++ b/internal/fleet/crash/table.go
@@ -116,7 +116,7 @@
 	// quarantine for a trial; never by default.
 	IsKeeper func(d Digest) bool
 	// Changed receives each change that this VM made itself; it must not block. May be nil.
-	Changed func(s State, c Change)
+	Changed func(before, after State, c Change)
 }
 
 //go:generate stringer -type=Change,Verdict -output=crash_string.go
@@ -148,7 +148,7 @@
 		opts.IsKeeper = func(Digest) bool { return false }
 	}
 	if opts.Changed == nil {
-		opts.Changed = func(State, Change) {}
+		opts.Changed = func(State, State, Change) {}
 	}
 	return &Table{opts: opts, entries: map[Digest]*entry{}}
 }
@@ -182,35 +182,35 @@
 
 // Admit decides on a request before its first attempt. With patient unset it may not wait.
 func (t *Table) Admit(now time.Time, d Digest, patient bool) Admission {
-	a, tried := t.admit(now, d, patient)
+	a, before, after := t.admit(now, d, patient)
 	if a.Trial {
-		t.opts.Changed(tried, Tried)
+		t.opts.Changed(before, after, Tried)
 	}
 	return a
 }
 
-// admit returns the state as well.
-func (t *Table) admit(now time.Time, d Digest, patient bool) (Admission, State) {
+// admit returns the states before and after as well.
+func (t *Table) admit(now time.Time, d Digest, patient bool) (a Admission, before, after State) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[d]
 	if e == nil || len(e.Processes) == 0 {
-		return Admission{}, State{}
+		return a, before, after
 	}
-	a := Admission{Servers: len(e.Processes)}
+	a, before = Admission{Servers: len(e.Processes)}, e.State
 	if e.Quarantined() {
 		if rejection, due := e.reject(now); !due || e.running > 0 || !t.opts.IsKeeper(d) {
-			return rejection, e.State
+			return rejection, before, before
 		}
 		e.Trials, e.At, a.Trial = e.Trials+1, now, true
 		e.notify()
 	} else if left := e.At.Add(t.settleTime(d, len(e.Processes))).Sub(now); patient && (left > 0 || e.running > 0) {
 		a.Verdict, a.Left, a.Changed = Wait, left, e.changed
-		return a, e.State
+		return a, before, before
 	}
 	e.running++
 	a.Suspected = true
-	return a, e.State
+	return a, before, e.State
 }
 
 // settleTime returns how long this VM waits after a crash before it sends the request again.
@@ -285,14 +285,14 @@
 // Crashed records that a process ended while it had the request.
 func (t *Table) Crashed(now time.Time, d Digest, p Process) {
 	t.mu.Lock()
-	epoch := uint32(0)
+	before := State{Request: d}
 	if e := t.entries[d]; e != nil {
-		epoch = e.Epoch
+		before = e.State
 	}
-	s, changed := t.mergeLocked(now, State{Request: d, Epoch: epoch, Processes: []Process{p}, At: now})
+	after, changed := t.mergeLocked(now, State{Request: d, Epoch: before.Epoch, Processes: []Process{p}, At: now})
 	t.mu.Unlock()
 	if changed {
-		t.opts.Changed(s, Crashed)
+		t.opts.Changed(before, after, Crashed)
 	}
 }
 
@@ -309,9 +309,10 @@
 		t.mu.Unlock()
 		return false
 	}
-	s, _ := t.mergeLocked(now, State{Request: d, Epoch: e.Epoch + 1, At: now})
+	before := e.State
+	after, _ := t.mergeLocked(now, State{Request: d, Epoch: e.Epoch + 1, At: now})
 	t.mu.Unlock()
-	t.opts.Changed(s, c)
+	t.opts.Changed(before, after, c)
 	return true
 }
 
--- a/proxy/trace.go
+++ b/proxy/trace.go
@@ -71,7 +71,7 @@
 			Uint64("generation", c.generation).Dur("limit", c.deadline.Sub(start)).Dur("waited", c.queueTime).
 			Array("attempts", attemptLogs(c.attempts))
 	}
-	if c != nil && err != nil && len(c.attempts) > 0 && h.opts.Crashes != nil {
+	if c != nil && h.opts.Crashes != nil && (err != nil && len(c.attempts) > 0 || fault.KindOf(err) == fault.Quarantined) {
 		event = event.Stringer("request", c.digest())
 	}
 	if err != nil {
