crash, admin, worker: copies wait until a third crash has settled; free; models of the load

A popular request that was on several servers of a wave of crashes would have been refused until a copy of it ended well elsewhere: while the third crash settles, copies wait as after the first two.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -31,6 +31,9 @@
 	Publish func(ctx context.Context, data []byte) (uint64, error)
 	// Dump returns the state dump of the process, which is encoded as JSON.
 	Dump func(ctx context.Context) (any, error)
+	// Free lets a request that may crash backend servers be sent again. It reports whether
+	// anything was known against it.
+	Free func(request string) (bool, error)
 	// Ready returns nil when the VM can serve callers.
 	Ready func() error
 	// WriteMetrics writes the metrics of this VM, before those of the process; it may be nil.
@@ -69,6 +72,7 @@
 	api := humago.New(mux, config)
 	registerReleases(api, opts)
 	registerState(api, opts)
+	registerSuspects(api, opts)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		if opts.WriteMetrics != nil {
 			opts.WriteMetrics(w)
@@ -131,6 +135,33 @@
 	}, func(context.Context, *struct{}) (*stateOutput, error) { return state("live"), nil })
 }
 
+type freeInput struct {
+	Request string `path:"request" doc:"Digest of the request, as in the dump and in log lines."`
+}
+
+type freeOutput struct {
+	Body struct {
+		Known bool `json:"known" doc:"Whether anything was known against the request."`
+	}
+}
+
+func registerSuspects(api huma.API, opts Options) {
+	huma.Register(api, huma.Operation{
+		OperationID: "free",
+		Method:      http.MethodDelete,
+		Path:        "/v1/suspects/{request}",
+		Summary:     "Send a request again that may crash backend servers",
+	}, func(_ context.Context, in *freeInput) (*freeOutput, error) {
+		known, err := opts.Free(in.Request)
+		if err != nil {
+			return nil, NewProblem(err)
+		}
+		out := &freeOutput{}
+		out.Body.Known = known
+		return out, nil
+	})
+}
+
 func state(name string) *stateOutput {
 	out := &stateOutput{}
 	out.Body.State = name
--- a/admin/client.go
+++ b/admin/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,20 @@
 	return c.tryInOrder(ctx, http.MethodGet, "/v1/dump", nil)
 }
 
+// Free lets a request that may crash backend servers be sent again on all VMs, and reports
+// whether anything was known against it. The error is a *Problem if the digest is malformed.
+func (c *Client) Free(ctx context.Context, request string) (known bool, err error) {
+	var out struct {
+		Known bool `json:"known"`
+	}
+	respBody, err := c.tryInOrder(ctx, http.MethodDelete, "/v1/suspects/"+url.PathEscape(request), nil)
+	if err != nil {
+		return false, err
+	}
+	err = json.Unmarshal(respBody, &out)
+	return out.Known, errors.Wrap(err, "decode the answer")
+}
+
 // tryInOrder sends a request to the VMs in order until one responds. A VM that cannot reach the
 // platform (PlatformDown) counts as not responding.
 func (c *Client) tryInOrder(ctx context.Context, method, path string, body []byte) ([]byte, error) {
--- a/cmd/azuredeal/main.go
+++ b/cmd/azuredeal/main.go
@@ -16,6 +16,7 @@
 	Publish publishCommand `cmd:"" help:"Publish a release note."`
 	Check   checkCommand   `cmd:"" help:"Check a settings file or a release note without a fleet."`
 	Dump    dumpCommand    `cmd:"" help:"Print the state of a running process."`
+	Free    freeCommand    `cmd:"" help:"Send a request again that was put in quarantine because it crashed backend servers."`
 	Replay  replayCommand  `cmd:"" help:"Replay recorded traces against their stated outcomes."`
 	Demo    demoCommand    `cmd:"" help:"Run a small fleet in this process and show how it treats a gray failure."`
 }
--- a/cmd/azuredeal/operate.go
+++ b/cmd/azuredeal/operate.go
@@ -75,6 +75,29 @@
 	return err
 }
 
+type freeCommand struct {
+	operator
+	Request string `arg:"" help:"Digest of the request, as in the dump and in log lines."`
+}
+
+// Run clears the request on all VMs through the first one that responds.
+func (c *freeCommand) Run(ctx context.Context) error {
+	known, err := c.client().Free(ctx, c.Request)
+	var refused *admin.Problem
+	switch {
+	case errors.As(err, &refused):
+		fmt.Fprintf(os.Stderr, "refused (%s): %s\n", refused.Kind, refused.Detail)
+		return errInvalid
+	case err != nil:
+		return err
+	case known:
+		fmt.Println("freed")
+	default:
+		fmt.Println("nothing was known against it")
+	}
+	return nil
+}
+
 type checkCommand struct {
 	Settings checkSettings `cmd:"" help:"Check the settings of an entry VM."`
 	Note     checkNote     `cmd:"" help:"Check the form of a release note and, against an empty release, its content."`
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -74,14 +74,18 @@
 	Cold   time.Duration `help:"Time after the start in which requests are refused." default:"0s"`
 	Leave  time.Duration `help:"Time after the start from which it states that it leaves; 0s never does." default:"0s"`
 	Away   time.Duration `help:"Time for which it wants no requests when it is full; 0s does not say." default:"0s"`
+	Deadly string        `help:"Path prefix of requests that end the process once they run; empty for none." default:""`
 	Seed   uint64        `help:"Seed of the service times." default:"1"`
 }
 
-// Run serves until SIGINT or SIGTERM.
+const exitDeadly = 3 // Exit code of a worker that a request has ended.
+
+// Run serves until SIGINT or SIGTERM, or until a deadly request ends the process.
 func (c *workerCommand) Run(ctx context.Context, log zerolog.Logger) error {
 	server := worker.New(worker.Options{
 		Name: c.Name, Slots: c.Slots, Queue: c.Queue,
 		Median: c.Median, Sigma: c.Sigma, Cold: c.Cold, Leave: c.Leave, Away: c.Away, Seed: c.Seed,
+		Deadly: c.Deadly, End: func() { os.Exit(exitDeadly) },
 	})
 	return serve(ctx, log, c.Addr, c.Conns, server.Handler())
 }
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -385,6 +385,7 @@
 		Token:        v.settings.Admin.Token,
 		Publish:      publish,
 		Dump:         func(ctx context.Context) (any, error) { return v.Dump(ctx) },
+		Free:         v.suspects.free,
 		Ready:        v.Ready,
 		WriteMetrics: func(w http.ResponseWriter) { component[*metrics.Set](v).WritePrometheus(w) },
 	})}, nil
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/lo"
 
+	"github.com/azuredeal/azuredeal/fault"
 	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/limit"
 	"github.com/azuredeal/azuredeal/wire"
@@ -147,6 +148,15 @@
 	})
 }
 
+// free clears a request on an operator's word.
+func (s *suspects) free(request string) (bool, error) {
+	d, ok := crash.ParseDigest(request)
+	if !ok {
+		return false, fault.New(fault.Invalid, "%q is not the digest of a request", request)
+	}
+	return s.table.Free(time.Now(), d), nil
+}
+
 // SuspectDump is a request that may crash backend servers, in the state dump.
 type SuspectDump struct {
 	Request     string `json:"request"` // Digest, as in log lines.
--- a/internal/fleet/crash/table.go
+++ b/internal/fleet/crash/table.go
@@ -198,15 +198,17 @@
 		return a, before, after
 	}
 	a, before = Admission{Servers: len(e.Processes)}, e.State
-	if e.Quarantined() {
+	left := e.At.Add(t.settleTime(d, len(e.Processes))).Sub(now)
+	switch wait := patient && left > 0; {
+	case wait, patient && e.running > 0 && !e.Quarantined():
+		a.Verdict, a.Left, a.Changed = Wait, left, e.changed
+		return a, before, before
+	case e.Quarantined():
 		if rejection, due := e.reject(now); !due || e.running > 0 || !t.opts.IsKeeper(d) {
 			return rejection, before, before
 		}
 		e.Trials, e.At, a.Trial = e.Trials+1, now, true
 		e.notify()
-	} else if left := e.At.Add(t.settleTime(d, len(e.Processes))).Sub(now); patient && (left > 0 || e.running > 0) {
-		a.Verdict, a.Left, a.Changed = Wait, left, e.changed
-		return a, before, before
 	}
 	e.running++
 	a.Suspected = true
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,7 +36,11 @@
 	Leave time.Duration
 	// Away is the time for which a worker that is full wants no requests; 0 when it does not say.
 	Away time.Duration
-	Seed uint64 // Of the random service times and the share of affected requests.
+	// Deadly is the path prefix of requests that end the process once they run; empty for none.
+	// End ends it.
+	Deadly string
+	End    func()
+	Seed   uint64 // Of the random service times and the share of affected requests.
 }
 
 // Headers that the proxy uses as well.
@@ -210,6 +215,10 @@
 	}
 	defer func() { <-s.slots }()
 	b, previousID := s.startAction(r)
+	if s.opts.Deadly != "" && strings.HasPrefix(r.URL.Path, s.opts.Deadly) {
+		s.opts.End()
+		return
+	}
 	if !sleep.For(ctx, s.serviceTime(b)) {
 		// A handler that returns without a status sends an empty response with status 200.
 		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
