--- a/pool/end.go
+++ b/pool/end.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,10 +27,9 @@
 }
 
 // HasEnded reports whether the process at the address has ended, for use after an exchange has
-// lost its connection. The end of a connection alone does not show it. The process has ended
-// when nothing accepts connections at the address any more; it has not while an idle
-// connection is open. Without a result within 300 ms, or before ctx ends, it counts as not
-// ended.
+// lost its connection. The end of a connection alone does not show it: the process has ended
+// when nothing accepts connections at the address any more. Without a result within 300 ms, or
+// before ctx ends, it counts as not ended.
 func (p *Pool) HasEnded(ctx context.Context) bool {
 	c := &p.endCheck
 	c.mu.Lock()
@@ -59,9 +57,6 @@
 }
 
 func (p *Pool) checkEnded(ctx context.Context) bool {
-	if p.hasOpenIdle() {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	for range maxEndChecks {
@@ -78,17 +73,6 @@
 	return false
 }
 
-// hasOpenIdle reports whether one of the idle connections is known to be open. It holds the
-// lock, as the check would wait for the read of a connection that is in use.
-func (p *Pool) hasOpenIdle() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle, func(c *serverConn) bool {
-		_, checkable := c.conn.(syscall.Conn)
-		return checkable && c.isOpen()
-	})
-}
-
 // isSilent reports whether a new connection stays open and without data for a while.
 func isSilent(conn net.Conn, wait time.Duration) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(wait))
