--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -65,3 +66,25 @@
 		t.Errorf("dump = %d %s", status, body)
 	}
 }
+
+// Guards against a request that stays in quarantine although an operator has freed it, and
+// against a malformed digest that is taken for another request.
+func TestFree(t *testing.T) {
+	freed := ""
+	server := httptest.NewServer(New(Options{Free: func(request string) (bool, error) {
+		if request == "bad" {
+			return false, fault.New(fault.Invalid, "not a digest")
+		}
+		freed = request
+		return true, nil
+	}}))
+	defer server.Close()
+	client := NewClient("", "http://127.0.0.1:1", server.URL)
+	if known, err := client.Free(t.Context(), "00000000000000ff"); err != nil || !known || freed != "00000000000000ff" {
+		t.Errorf("freed %q, %v, %v", freed, known, err)
+	}
+	var p *Problem
+	if _, err := client.Free(t.Context(), "bad"); !errors.As(err, &p) || p.Kind != "Invalid" {
+		t.Errorf("got %v", err)
+	}
+}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -18,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/azuredeal/azuredeal/admin"
 	"github.com/azuredeal/azuredeal/caller"
 	"github.com/azuredeal/azuredeal/conf"
 	"github.com/azuredeal/azuredeal/internal/fleet/crash"
@@ -286,4 +287,14 @@
 	if _, quarantined := newcomer.table.Counts(); quarantined != 1 {
 		t.Errorf("%d requests in quarantine at a VM that was just linked", quarantined)
 	}
+
+	// An operator frees it on all VMs through one of them.
+	if known, err := admin.NewClient("", "http://"+fleet[0].AdminAddr()).Free(t.Context(), fleet[0].suspects.dump(time.Now())[0].Request); err != nil || !known {
+		t.Errorf("freed: %v, %v", known, err)
+	}
+	for _, vm := range fleet {
+		for len(vm.suspects.dump(time.Now())) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
 }
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -20,6 +20,7 @@
 	cut          func(from, to int) bool
 	failingDials []simDial
 	countBytes   bool // Count the bytes of heartbeats.
+	onSuspects   func(v *simVM, suspects []*wire.Suspect)
 }
 
 type simVM struct {
@@ -180,6 +181,9 @@
 		e.inbox = nil
 		for _, h := range inbox {
 			v.view.HandleHeartbeat(s.now, e.id, h)
+			if s.onSuspects != nil && len(h.GetSuspects()) > 0 {
+				s.onSuspects(v, h.GetSuspects())
+			}
 		}
 		if e.closed {
 			delete(v.ends, e.id)
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -19,8 +19,8 @@
 	// this VM. When many backend servers end at once, most of what their requests are suspected
 	// of is not worth more.
 	maxSuspectBytes       = 8 << 10
-	suspectBytesPerSecond = 4 << 10
-	suspectBurstBytes     = 16 << 10
+	suspectBytesPerSecond = 2 << 10
+	suspectBurstBytes     = 8 << 10
 	// urgentSuspectServers is the number of servers from which a suspect goes to all links when
 	// it is passed on.
 	urgentSuspectServers = 2
--- a/worker/worker_test.go
+++ b/worker/worker_test.go
@@ -149,3 +149,18 @@
 		}
 	})
 }
+
+// Guards against a stand-in that ends under other requests, or before it runs the deadly one.
+func TestDeadlyRequestEndsWorker(t *testing.T) {
+	ended := 0
+	s := New(Options{Slots: 1, Median: time.Millisecond, Deadly: "/orders", End: func() { ended++ }})
+	other := httptest.NewRequest(http.MethodGet, "/signs", nil)
+	s.Handler().ServeHTTP(httptest.NewRecorder(), other)
+	if ended != 0 {
+		t.Error("ended under another request")
+	}
+	s.Handler().ServeHTTP(httptest.NewRecorder(), newRequest(http.MethodPost, "k"))
+	if ended != 1 || s.RunsByKey()["k"] != 1 {
+		t.Errorf("ended %d times, action started %d times", ended, s.RunsByKey()["k"])
+	}
+}
