--- a/proxy/stated_test.go
+++ b/proxy/stated_test.go
@@ -89,3 +89,22 @@
 	want := fmt.Sprintf("azuredeal_stated_total{service=%q,state=%q} 2\n", "s", "busy")
 	failIf(t, !strings.Contains(out.String(), want), "no metric %s", want)
 }
+
+// Guards against a server that gets requests although it wants none, because the platform named
+// another process at its address for a moment, as after a restore.
+func TestHoldOutlastsAnotherProcessAtTheAddress(t *testing.T) {
+	var extra atomic.Pointer[string]
+	text := "Azuredeal-Refused: shed\r\nRetry-After: 30\r\n"
+	extra.Store(&text)
+	busy := statingServer(t, "busy", 503, &extra)
+	process := func(start uint64) *note.Release {
+		return release(func(s *note.Service) { s.Servers[0].Start = start }, busy)
+	}
+	f := newFixture(t, nil, busy)
+	f.SetRelease(process(2))
+	f.do("POST", "/act", "")
+	failIf(t, !f.IsHeld("s", busy.Addr().String()), "the statement is not taken in")
+	f.SetRelease(process(1))
+	f.SetRelease(process(2))
+	failIf(t, !f.IsHeld("s", busy.Addr().String()), "the process is not held any more")
+}
