--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -330,11 +331,11 @@
 // Guards against a request that has run, and is told to callers as not run because it was put in
 // quarantine meanwhile, and against one that waited for its turn and is sent all the same.
 func TestQuarantineIsAccurate(t *testing.T) {
-	var f *fixture
+	var table atomic.Pointer[crash.Table]
 	suspect := func(path string) {
 		d := crash.NewHasher(nil).Digest(crash.Request{Method: http.MethodPost, Host: "example.com", Target: path})
 		for p := range crash.Process(crash.QuarantineAfter) {
-			f.opts.Crashes.Crashed(time.Now(), d, p)
+			table.Load().Crashed(time.Now(), d, p)
 		}
 	}
 	failing := serveRaw(t, func(c net.Conn, r *http.Request, _ []byte) bool {
@@ -357,8 +358,9 @@
 		{refusing, "/look/x", "Quarantined", "no"},
 		{refusing, "/act", "Quarantined", "no"},
 	} {
-		f = newFixture(t, nil, c.first, spare)
-		f.opts.Crashes, f.opts.Hasher = crash.New(crash.Options{}), crash.NewHasher(nil)
+		table.Store(crash.New(crash.Options{}))
+		f := newFixture(t, nil, c.first, spare)
+		f.opts.Crashes, f.opts.Hasher = table.Load(), crash.NewHasher(nil)
 		status := map[string]int{"no": 503, "unknown": 502}[c.ran]
 		expectResponse(t, f.do("POST", c.path, ""), status, c.kind, c.ran)
 		f.expectIdle(t)
