--- a/proxy/call.go
+++ b/proxy/call.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azuredeal/azuredeal/fault"
@@ -46,6 +47,7 @@
 	digestOnce  sync.Once
 	knownDigest crash.Digest // Valid once digestOnce is done.
 	isTrial     bool         // The request is in quarantine and sent nevertheless.
+	endedWell   atomic.Bool  // One of its attempts did.
 }
 
 // prepareCall validates a request, charges its account and reads its body. An error
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -161,11 +161,14 @@
 	}
 	switch s.Outcome {
 	case board.Success:
+		c.endedWell.Store(true)
 		if !h.opts.Crashes.IsEmpty() {
 			h.opts.Crashes.Succeeded(time.Now(), c.digest())
 		}
 	case board.Late, board.Canceled:
-		v.abandoned.add(c.delivery(s))
+		if !c.endedWell.Load() { // As it has when a hedged request was faster.
+			v.abandoned.add(c.delivery(s))
+		}
 	case board.Reset, board.Truncated:
 		d := c.delivery(s)
 		go h.checkServer(v, &d)
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/azuredeal/azuredeal/board"
 	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pick"
@@ -369,3 +371,20 @@
 		t.Errorf("sent %d times after the third crash", n)
 	}
 }
+
+// Guards against a request that is blamed for the end of a server where it had lost the race of a
+// hedged request, although it ended well at the other one.
+func TestLoserOfHedgedRequestIsNoSuspect(t *testing.T) {
+	f := newFixture(t, nil, serveRaw(t, echoBody))
+	f.opts.Crashes, f.opts.Hasher = crash.New(crash.Options{}), crash.NewHasher(nil)
+	for _, endedWell := range []bool{false, true} {
+		c, err := f.routeCall(f.state.Load(), "example.com", &url.URL{Path: "/look/x"}, http.MethodGet)
+		failIf(t, err != nil, "%v", err)
+		v := &server{abandoned: &abandoned{}}
+		if endedWell {
+			c.observeEnd(v, board.Sample{Outcome: board.Success})
+		}
+		c.observeEnd(v, board.Sample{Outcome: board.Canceled})
+		failIf(t, v.abandoned.isEmpty() != endedWell, "ended well %v: blamed %v", endedWell, !v.abandoned.isEmpty())
+	}
+}
