crash: a possible victim of concurrent crashes is tried once they have settled

A request all copies of which were on servers that ended within 150 ms cannot be told from one that ended them, and no copy is left to end well. Any VM may now try it once its crashes have settled, twice at most; a trial that ends another server puts it in quarantine as before.

--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -179,17 +179,22 @@
 func suspectToWire(now time.Time, s crash.State) *wire.Suspect {
 	return &wire.Suspect{
 		Request: uint64(s.Request), Epoch: s.Epoch, Trials: s.Trials, Age: uint64(max(0, now.Sub(s.At)).Milliseconds()),
+		Span:    uint64(s.Span.Milliseconds()),
 		Servers: lo.Map(s.Processes, func(p crash.Process, _ int) uint32 { return uint32(p) }),
 	}
 }
 
-// maxSuspectAge bounds the age of what other VMs say, which also keeps it from overflowing.
-const maxSuspectAge = 365 * 24 * time.Hour
+// maxSuspectTime bounds the times that other VMs state, which also keeps them from overflowing.
+const maxSuspectTime = 365 * 24 * time.Hour
+
+func suspectTime(millis uint64) time.Duration {
+	return time.Duration(min(millis, uint64(maxSuspectTime.Milliseconds()))) * time.Millisecond
+}
 
 func suspectFromWire(now time.Time, w *wire.Suspect) crash.State {
-	age := time.Duration(min(w.GetAge(), uint64(maxSuspectAge.Milliseconds()))) * time.Millisecond
+	age, span := suspectTime(w.GetAge()), suspectTime(w.GetSpan())
 	return crash.State{
-		Request: crash.Digest(w.GetRequest()), Epoch: w.GetEpoch(), Trials: w.GetTrials(), At: now.Add(-age),
+		Request: crash.Digest(w.GetRequest()), Epoch: w.GetEpoch(), Trials: w.GetTrials(), At: now.Add(-age), Span: span,
 		Processes: lo.Map(w.GetServers(), func(p uint32, _ int) crash.Process { return crash.Process(p) }),
 	}
 }
--- a/internal/fleet/crash/table.go
+++ b/internal/fleet/crash/table.go
@@ -28,6 +28,11 @@
 	trialDelay   = 10 * time.Minute
 	trialBackoff = 6
 	maxTrials    = 3 // Trials of a request in quarantine, of all VMs, for ever.
+	// concurrentSpan is the time within which all processes ended if copies of a request that
+	// were on several servers at once may all be victims of one cause. Such a request may be
+	// tried as soon as its crashes have settled, by any VM, maxQuickTrials times.
+	concurrentSpan = 150 * time.Millisecond
+	maxQuickTrials = 2
 
 	maxEntries   = 4096 // Requests in a table.
 	maxProcesses = 8    // Processes kept for each request.
@@ -44,8 +49,14 @@
 	Processes []Process // Processes that ended while they had the request, in order.
 	Trials    uint32    // Trials of the request in quarantine that have begun.
 	At        time.Time // Of the last crash, trial or clearance.
+	// Span is the time from the first to the last crash.
+	Span time.Duration
 }
 
+// mayBeVictim reports whether all processes ended at about the same time, and no trial has ended
+// another one.
+func (s State) mayBeVictim() bool { return s.Span <= concurrentSpan && s.Trials < maxQuickTrials }
+
 // Quarantined reports whether the request is in quarantine.
 func (s State) Quarantined() bool { return len(s.Processes) >= QuarantineAfter }
 
@@ -80,8 +91,9 @@
 	}
 	changed := s.Epoch > e.Epoch
 	if changed {
-		e.Epoch, e.Processes, e.Trials = s.Epoch, nil, 0
+		e.Epoch, e.Processes, e.Trials, e.Span = s.Epoch, nil, 0, 0
 	}
+	before := e.State
 	// Of more processes than are kept, all VMs keep the same ones.
 	united := slices.Concat(e.Processes, s.Processes)
 	slices.Sort(united)
@@ -89,6 +101,7 @@
 	united = united[:min(len(united), maxProcesses)]
 	if !slices.Equal(united, e.Processes) {
 		e.Processes, changed = united, true
+		e.Span = unitedSpan(before, s)
 	}
 	if s.Trials > e.Trials {
 		e.Trials, changed = s.Trials, true
@@ -99,6 +112,26 @@
 	return changed
 }
 
+// unitedSpan returns the span of the crashes of two states.
+func unitedSpan(a, b State) time.Duration {
+	switch {
+	case len(a.Processes) == 0:
+		return b.Span
+	case len(b.Processes) == 0:
+		return a.Span
+	case a.Trials > 0 || b.Trials > 0:
+		return max(a.Span, b.Span, settleTime) // A trial waits for the crashes before it to settle.
+	}
+	first, last := a.At.Add(-a.Span), a.At
+	if f := b.At.Add(-b.Span); f.Before(first) {
+		first = f
+	}
+	if b.At.After(last) {
+		last = b.At
+	}
+	return last.Sub(first)
+}
+
 // reject returns the rejection of a request in quarantine, and whether a trial is due.
 func (e *entry) reject(now time.Time) (a Admission, trialDue bool) {
 	a = Admission{Verdict: Reject, Servers: len(e.Processes)}
@@ -204,7 +237,8 @@
 		a.Verdict, a.Left, a.Changed = Wait, left, e.changed
 		return a, before, before
 	case e.Quarantined():
-		if rejection, due := e.reject(now); !due || e.running > 0 || !t.opts.IsKeeper(d) {
+		rejection, due := e.reject(now)
+		if e.running > 0 || !e.mayBeVictim() && (!due || !t.opts.IsKeeper(d)) {
 			return rejection, before, before
 		}
 		e.Trials, e.At, a.Trial = e.Trials+1, now, true
