--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"github.com/azuredeal/azuredeal/admin"
 	"github.com/azuredeal/azuredeal/caller"
@@ -24,6 +25,7 @@
 	"github.com/azuredeal/azuredeal/internal/fleet/crash"
 	"github.com/azuredeal/azuredeal/note"
 	"github.com/azuredeal/azuredeal/pool"
+	"github.com/azuredeal/azuredeal/wire"
 )
 
 // fragileServers are backend servers whose processes end when they run a request for deadlyPath.
@@ -298,3 +300,38 @@
 		}
 	}
 }
+
+// Guards against a quarantine that does not outlast a restart of all VMs, because two VMs saw the
+// last crashes at the same time and neither of them saw the third one.
+func TestQuarantineByMergeIsKept(t *testing.T) {
+	now := time.Now()
+	var vms []*suspects
+	for _, name := range []string{"a", "b"} {
+		s := newSuspects(zerolog.Nop(), metrics.NewSet(), name)
+		s.isAlive = func() []string { return []string{"a", "b"} }
+		s.save = (&keptSuspects{}).save
+		vms = append(vms, s)
+	}
+	exchange := func() {
+		var told [][]*wire.Suspect
+		for _, s := range vms {
+			told = append(told, lo.Map(s.table.States(), func(state crash.State, _ int) *wire.Suspect { return suspectToWire(now, state) }))
+		}
+		for i, s := range vms {
+			s.merge(now, told[1-i])
+		}
+	}
+	vms[0].table.Crashed(now, 7, 1)
+	exchange()
+	vms[0].table.Crashed(now, 7, 2)
+	vms[1].table.Crashed(now, 7, 3)
+	exchange()
+	for i, s := range vms {
+		if _, quarantined := s.table.Counts(); quarantined != 1 {
+			t.Errorf("VM %d: %d requests in quarantine", i, quarantined)
+		}
+	}
+	if n := len(vms[0].unsaved) + len(vms[1].unsaved); n == 0 {
+		t.Error("no VM keeps it")
+	}
+}
