review: case 3, a process exceeds its memory by large orders (LOST)

Cause: the bodies of callers' requests are copied into memory without a bound on all of them together, before the bound of the proxy applies.

Added: a script and its claim. When one of two VMs is killed, the large orders of its callers come to the other one, which exceeds 648 MB.

--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -12,46 +12,59 @@
 
 const (
 	memoryLimit  = 648 << 20 // Of a process on the smallest machines.
-	uploadBytes  = 10 << 20  // max-body-bytes is 64 MiB.
-	usualUploads = 9         // Large orders under way at once.
-	burstUploads = 15        // With 1.7 times the traffic.
-	uploadRounds = 5
+	uploadBytes  = 10 << 20  // Of a large order; max-body-bytes is 64 MiB.
+	uploadsPerVM = 8         // Large orders under way at once.
+	uploadRounds = 4
 	uploadPieces = 10
 	piecePause   = 30 * time.Millisecond
 	readers      = 12
+	downTime     = 3500 * time.Millisecond // Of a VM that is killed.
+	calmTime     = 4 * time.Second
 )
 
-// runMemory plays a burst of large orders, each within max-body-bytes, beside usual reads on
-// kept connections. The platform kills a process that exceeds its memory. It checks LOST: no
-// more than three requests from kept connections may be passed on to a sound worker and end
-// with their connection.
+// runMemory plays the loss of one of two VMs while clients send large orders, each within
+// max-body-bytes: the clients of the lost VM turn to the other one. Beside them there are usual
+// reads on kept connections to that one. The platform kills a process that exceeds its memory.
+// It checks LOST: no more than three requests from kept connections may be passed on to a sound
+// worker and end with their connection.
 func runMemory(c *testCase) (bool, error) {
 	routes := []route{{"reads", "/reads/", "safe", "2500ms", 2}, {"orders", "/orders/", "unsafe", "10s", 1}}
 	work := func(*http.Request) time.Duration { return quickWork }
 	if err := c.startAll(8, 2, routes, work); err != nil {
 		return false, err
 	}
-	v := c.vms[0]
-	uploads := usualUploads
-	if c.trouble {
-		uploads = burstUploads
-	}
+	v, other := c.vms[0], c.vms[1]
 	c.record.setOrigin()
 	stop := make(chan struct{})
 	var peak atomic.Int64
-	go limitMemory(c, v, stop, &peak)
+	for _, v := range c.vms {
+		go limitMemory(c, v, stop, &peak)
+	}
 	var lost atomic.Int64
-	var reading, uploading sync.WaitGroup
+	var reading sync.WaitGroup
 	for range readers {
 		reading.Go(func() { readOn(c, v, stop, &lost) })
 	}
 	for round := range uploadRounds {
-		c.record.linef("round %d: %d orders of %d MiB at once", round+1, uploads, uploadBytes>>20)
-		for range uploads {
-			uploading.Go(func() { upload(c, v) })
+		c.record.linef("round %d: %d orders of %d MiB at once", round+1, len(c.vms)*uploadsPerVM, uploadBytes>>20)
+		if c.trouble {
+			c.record.linef("%s is killed", other.name)
+			other.signal(syscall.SIGKILL)
+			<-other.done
+		}
+		uploadAll(c)
+		if !c.trouble {
+			time.Sleep(calmTime)
+			continue
+		}
+		time.Sleep(downTime)
+		if err := other.start(); err != nil {
+			return false, err
+		}
+		if err := other.awaitReady(c.ctx); err != nil {
+			return false, err
 		}
-		uploading.Wait()
-		time.Sleep(2 * time.Second)
+		time.Sleep(calmTime)
 	}
 	close(stop)
 	reading.Wait()
@@ -59,6 +72,18 @@
 	return lost.Load() > 3, nil
 }
 
+// uploadAll sends the same number of large orders to each VM at once.
+func uploadAll(c *testCase) {
+	var uploading sync.WaitGroup
+	for i, v := range c.vms {
+		others := c.vms[len(c.vms)-1-i]
+		for range uploadsPerVM {
+			uploading.Go(func() { upload(c, v, others) })
+		}
+	}
+	uploading.Wait()
+}
+
 // limitMemory does what the platform does: it kills a process that exceeds its memory, and
 // starts it again after a short delay.
 func limitMemory(c *testCase, v *vm, stop <-chan struct{}, peak *atomic.Int64) {
@@ -116,10 +141,13 @@
 	}
 }
 
-// upload sends one large order.
-func upload(c *testCase, v *vm) {
+// upload sends one large order to a VM, or to another one when that cannot be reached.
+func upload(c *testCase, v, other *vm) {
 	const deadline = 10 * time.Second
 	cl, err := dialClient(v.front)
+	if err != nil {
+		cl, err = dialClient(other.front)
+	}
 	if err != nil {
 		c.record.linef("client: %v", err)
 		return
