--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -14,7 +14,7 @@
 	memoryLimit  = 648 << 20 // Of a process on the smallest machines.
 	uploadBytes  = 10 << 20  // Of a large order; max-body-bytes is 64 MiB.
 	uploadsPerVM = 8         // Large orders under way at once.
-	uploadRounds = 4
+	uploadRounds = 7
 	uploadPieces = 10
 	piecePause   = 30 * time.Millisecond
 	readers      = 12
