--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -40,6 +40,7 @@
 	"sigterm": runSigterm,
 	"memory":  runMemory,
 	"stray":   runStray,
+	"deadly":  runDeadly,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -82,6 +82,22 @@
 	s.put(kind, name, data, false)
 }
 
+// remove removes an object, as the platform does when a worker has been silent.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, known := s.kinds[kind][name]
+	if !known {
+		return
+	}
+	s.revision++
+	o.Metadata.Revision = s.revision
+	delete(s.kinds[kind], name)
+	s.events = append(s.events, storeEvent{kind: kind, revision: s.revision, Removed: true, Object: o})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // ServeHTTP serves the calls of the system.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -32,16 +32,20 @@
 // worker stands in for a backend server: it runs slots requests at once and queues a few, and
 // answers the next request of a connection after the one before.
 type worker struct {
-	id, zone string
-	listener net.Listener
-	record   *recorder
-	born     int64
-	slots    chan struct{}
-	waiting  atomic.Int64
+	zone, addr string
+	record     *recorder
+	store      *store
+	slots      chan struct{}
+	waiting    atomic.Int64
 	// work returns how long a request takes.
 	work func(r *http.Request) time.Duration
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	id       string
+	born     int64
+	listener net.Listener
+	conns    []net.Conn
+	down     bool // It has crashed and is not back yet.
 	// before returns bytes that a faulty worker sends on a connection before it answers its
 	// next request; nil for none.
 	before func(served int) []byte
@@ -54,22 +58,20 @@
 		return nil, err
 	}
 	w := &worker{
-		id: fmt.Sprintf("i-%08x", 0x1000+index), zone: zoneName(index % 2), listener: l, record: c.record, born: time.Now().UnixMilli(),
-		slots: make(chan struct{}, slots), work: work, ran: map[string]time.Time{},
+		id: fmt.Sprintf("i-%08x", 0x1000+index), zone: zoneName(index % 2), listener: l, addr: l.Addr().String(), record: c.record,
+		store: c.store, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), work: work, ran: map[string]time.Time{},
 	}
-	go w.serve()
+	go w.serve(l)
 	go w.beat(c.ctx, c.store)
 	return w, nil
 }
 
-// beat writes the entry of the worker in the store, once every heartbeat.
+// beat writes the entry of the worker in the store, once every heartbeat while it runs.
 func (w *worker) beat(ctx context.Context, s *store) {
 	for sequence := 1; ; sequence++ {
-		s.set("servers", w.id, map[string]any{
-			"address": w.listener.Addr().String(), "born": w.born,
-			"info":   map[string]any{"service": serviceName, "version": "v1", "zone": w.zone, "slots": slots},
-			"status": map[string]any{"state": "ready", "sequence": sequence, "warmup-left": "0ms"},
-		})
+		if id, entry, running := w.entry(sequence); running {
+			s.set("servers", id, entry)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -78,6 +80,24 @@
 	}
 }
 
+// entry returns the id of the worker and its entry, and whether the worker runs.
+func (w *worker) entry(sequence int) (id string, entry map[string]any, running bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id, map[string]any{
+		"address": w.addr, "born": w.born,
+		"info":   map[string]any{"service": serviceName, "version": "v1", "zone": w.zone, "slots": slots},
+		"status": map[string]any{"state": "ready", "sequence": sequence, "warmup-left": "0ms"},
+	}, !w.down
+}
+
+// name returns the id of the worker.
+func (w *worker) name() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.id
+}
+
 func (w *worker) setBefore(before func(served int) []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -90,12 +110,15 @@
 	return w.before
 }
 
-func (w *worker) serve() {
+func (w *worker) serve(l net.Listener) {
 	for {
-		conn, err := w.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
+		w.mu.Lock()
+		w.conns = append(w.conns, conn)
+		w.mu.Unlock()
 		go w.serveConn(conn)
 	}
 }
@@ -113,7 +136,7 @@
 		}
 		if before := w.getBefore(); before != nil {
 			if extra := before(served); extra != nil {
-				w.record.linef("%s sends %d additional bytes where the answer to %s is due", w.id, len(extra), r.Header.Get(headerID))
+				w.record.linef("%s sends %d additional bytes where the answer to %s is due", w.name(), len(extra), r.Header.Get(headerID))
 				_, _ = conn.Write(extra)
 			}
 		}
@@ -125,12 +148,12 @@
 
 // answer runs a request and returns the response.
 func (w *worker) answer(conn net.Conn, r *http.Request) string {
-	id := r.Header.Get(headerID)
+	self, id := w.name(), r.Header.Get(headerID)
 	switch {
 	case r.URL.Path == "/health":
-		return response("200 OK", headerInstance+": "+w.id, "")
-	case r.Header.Get(headerExpect) != "" && r.Header.Get(headerExpect) != w.id:
-		return response("421 Misdirected Request", headerInstance+": "+w.id, "")
+		return response("200 OK", headerInstance+": "+self, "")
+	case r.Header.Get(headerExpect) != "" && r.Header.Get(headerExpect) != self:
+		return response("421 Misdirected Request", headerInstance+": "+self, "")
 	case id == "":
 		return response("400 Bad Request", "X-Azuredeal-Not-Executed: 1", "")
 	}
@@ -145,16 +168,21 @@
 	w.ran[id] = time.Now()
 	w.mu.Unlock()
 	work := w.work(r)
+	if r.URL.Path == deadlyPath {
+		w.record.linef("%s begins to run %s and crashes", self, id)
+		w.crash()
+		return ""
+	}
+	signed := headerID + ": " + id + "\r\n" + headerSignature + ": " + signature(self, id)
 	if left, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil && time.Duration(left)*time.Millisecond < work {
 		time.Sleep(time.Duration(left) * time.Millisecond)
-		return response("504 Gateway Timeout", headerID+": "+id+"\r\n"+headerSignature+": "+signature(w.id, id), "")
+		return response("504 Gateway Timeout", signed, "")
 	}
 	time.Sleep(work)
 	if strings.Contains(r.URL.Path, "/watched/") {
-		w.record.linef("%s has run %s from %s to its end", w.id, id, conn.RemoteAddr())
+		w.record.linef("%s has run %s from %s to its end", self, id, conn.RemoteAddr())
 	}
-	body := "done " + id
-	return response("200 OK", headerID+": "+id+"\r\n"+headerSignature+": "+signature(w.id, id), body)
+	return response("200 OK", signed, "done "+id)
 }
 
 func signature(worker, id string) string { return "sig." + worker + "." + id }
