--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -52,7 +52,7 @@
 // head returns the head of a request.
 func head(method, path, id string, deadline time.Duration, length int) string {
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
-		method, path, hostName, headerID, id, headerDeadline, deadline.Milliseconds(), length)
+		method, path, hostName, wire.ID, id, wire.Deadline, deadline.Milliseconds(), length)
 }
 
 // read reads the answer to a request that was sent.
@@ -67,7 +67,7 @@
 	}
 	a.at, a.err = time.Now(), err
 	if err == nil {
-		a.status, a.signature = resp.StatusCode, resp.Header.Get(headerSignature)
+		a.status, a.signature = resp.StatusCode, resp.Header.Get(wire.Signature)
 	}
 	return a
 }
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -190,7 +190,7 @@
 		"version": version, "base-version": 0,
 		"routes": map[string]any{
 			"columns": []string{
-				"name", "host", "path-prefix", "kind", "timeout", "target-latency", "priority", "traffic-split", "max-attempts", "service",
+				"name", "host", wire.Prefix, "kind", "timeout", "target-latency", "priority", "traffic-split", "max-attempts", "service",
 			},
 			"rows": rows,
 		},
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -143,7 +143,7 @@
 	revision := s.revision
 	s.mu.Unlock()
 	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	reply(w, http.StatusOK, map[string]any{"items": items, "more": false, "current-rev": revision})
+	reply(w, http.StatusOK, map[string]any{"items": items, "more": false, wire.Revision: revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -172,7 +172,7 @@
 			}
 		}
 		if len(events) > 0 || ended {
-			reply(w, http.StatusOK, map[string]any{"events": events, "current-rev": revision})
+			reply(w, http.StatusOK, map[string]any{"events": events, wire.Revision: revision})
 			return
 		}
 	}
--- a/review/stand/stray.go
+++ b/review/stand/stray.go
@@ -31,7 +31,7 @@
 				if served == 0 || rand.Float64() >= strayShare {
 					return nil
 				}
-				return []byte("HTTP/1.1 200 OK\r\n" + headerInstance + ": " + w.name() + "\r\nContent-Length: 0\r\n\r\n")
+				return []byte("HTTP/1.1 200 OK\r\n" + wire.Instance + ": " + w.name() + "\r\nContent-Length: 0\r\n\r\n")
 			})
 		}
 	}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -14,15 +14,6 @@
 	"time"
 )
 
-// Header names of the platform.
-const (
-	headerID        = "X-Azuredeal-Attempt-Id"
-	headerDeadline  = "X-Azuredeal-Deadline-Ms"
-	headerExpect    = "X-Azuredeal-Expected-Instance"
-	headerSignature = "X-Azuredeal-Server-Signature"
-	headerInstance  = "X-Azuredeal-Instance-Id"
-)
-
 const (
 	slots     = 3
 	queueSize = 12
@@ -136,7 +127,7 @@
 		}
 		if before := w.getBefore(); before != nil {
 			if extra := before(served); extra != nil {
-				w.record.linef("%s sends %d additional bytes where the answer to %s is due", w.name(), len(extra), r.Header.Get(headerID))
+				w.record.linef("%s sends %d additional bytes where the answer to %s is due", w.name(), len(extra), r.Header.Get(wire.ID))
 				_, _ = conn.Write(extra)
 			}
 		}
@@ -148,18 +139,18 @@
 
 // answer runs a request and returns the response.
 func (w *worker) answer(conn net.Conn, r *http.Request) string {
-	self, id := w.name(), r.Header.Get(headerID)
+	self, id := w.name(), r.Header.Get(wire.ID)
 	switch {
 	case r.URL.Path == "/health":
-		return response("200 OK", headerInstance+": "+self, "")
-	case r.Header.Get(headerExpect) != "" && r.Header.Get(headerExpect) != self:
-		return response("421 Misdirected Request", headerInstance+": "+self, "")
+		return response("200 OK", wire.Instance+": "+self, "")
+	case r.Header.Get(wire.Expect) != "" && r.Header.Get(wire.Expect) != self:
+		return response("421 Misdirected Request", wire.Instance+": "+self, "")
 	case id == "":
-		return response("400 Bad Request", "X-Azuredeal-Not-Executed: 1", "")
+		return response("400 Bad Request", wire.NotRun+": 1", "")
 	}
 	if w.waiting.Add(1) > slots+queueSize {
 		w.waiting.Add(-1)
-		return response("503 Service Unavailable", headerID+": "+id+"\r\nX-Azuredeal-Not-Executed: 1", "")
+		return response("503 Service Unavailable", wire.ID+": "+id+"\r\n"+wire.NotRun+": 1", "")
 	}
 	defer w.waiting.Add(-1)
 	w.slots <- struct{}{}
@@ -173,8 +164,8 @@
 		w.crash()
 		return ""
 	}
-	signed := headerID + ": " + id + "\r\n" + headerSignature + ": " + signature(self, id)
-	if left, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil && time.Duration(left)*time.Millisecond < work {
+	signed := wire.ID + ": " + id + "\r\n" + wire.Signature + ": " + signature(self, id)
+	if left, err := strconv.Atoi(r.Header.Get(wire.Deadline)); err == nil && time.Duration(left)*time.Millisecond < work {
 		time.Sleep(time.Duration(left) * time.Millisecond)
 		return response("504 Gateway Timeout", signed, "")
 	}
