member, platform: what VMs tell of the store's answers counts from when it was told

Cause: the ages in a heartbeat lacked the time on the way.

Change: a heartbeat says which one of the receiver came last, and how long before; the receiver knows when it sent that one, which bounds how old the heartbeat is. The first heartbeat of a link, which confirms none, tells nothing of the store.

Before, no delay was known at all.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -43,7 +43,7 @@
 	if l == nil {
 		return nil
 	}
-	l.sentSeq++
+	l.recordSent(now)
 	l.nextHeartbeat = now.Add(heartbeatInterval + v.jitter(heartbeatJitter))
 	h := &wire.Heartbeat{
 		Incarnation: v.self.incarnation,
--- a/member/link.go
+++ b/member/link.go
@@ -29,6 +29,8 @@
 	// resendTimeout is how long a record waits for the peer to acknowledge the
 	// heartbeat that carried it before it is sent again.
 	resendTimeout = 2 * time.Second
+	// maxSentHeartbeats bounds the heartbeats of a link whose times of sending are kept.
+	maxSentHeartbeats = 64
 )
 
 // link is the state of one link.
@@ -52,7 +54,10 @@
 	syncing               bool     // A full sync is in progress.
 	syncCursor            uint64   // Ring position that the full sync has reached.
 	heartbeatsSinceRepair int
-	news                  News // The newest changes that either side has told the other of.
+	news                  News            // The newest changes that either side has told the other of.
+	sent                  []sentHeartbeat // Heartbeats whose arrival the peer may still confirm, in order.
+	delay                 time.Duration   // How long the last heartbeat received may have been on its way.
+	delayKnown            bool
 	reports               reportQueue
 	events                map[uint32]*wire.Event // By backend server.
 	rates                 map[uint64]bool        // Backend servers whose stated rates are queued.
@@ -69,6 +74,32 @@
 	removed  bool
 }
 
+// sentHeartbeat is a heartbeat that was sent on a link.
+type sentHeartbeat struct {
+	seq uint64
+	at  time.Time
+}
+
+// recordSent records that the next heartbeat is sent.
+func (l *link) recordSent(now time.Time) {
+	l.sentSeq++
+	if len(l.sent) == maxSentHeartbeats {
+		l.sent = l.sent[1:]
+	}
+	l.sent = append(l.sent, sentHeartbeat{l.sentSeq, now})
+}
+
+// recordDelay takes in which heartbeat the peer had received last when it sent one, and how long
+// before. The peer cannot have received it before it was sent, which bounds how old its own is: it may
+// have been held up in either process or on the link.
+func (l *link) recordDelay(now time.Time, heard uint64, silence time.Duration) {
+	l.sent = slices.DeleteFunc(l.sent, func(s sentHeartbeat) bool { return s.seq < heard })
+	l.delayKnown = len(l.sent) > 0 && l.sent[0].seq == heard
+	if l.delayKnown {
+		l.delay = max(0, now.Sub(l.sent[0].at)-silence)
+	}
+}
+
 // oneWay reports whether heartbeats arrive in at most one direction.
 func (l *link) oneWay() bool { return l.rxDown || l.txDown }
 
@@ -199,6 +230,7 @@
 	l.news = l.news.max(News{Generation: h.GetGeneration(), Roster: h.GetRoster()})
 	l.ackThrough(h.GetHeard())
 	silence := time.Duration(h.GetSilence()) * time.Millisecond
+	l.recordDelay(now, h.GetHeard(), silence)
 	wasOneWay := l.oneWay()
 	l.txDown = silence >= suspectAfter
 	r := v.members[l.remote]
--- a/member/service.go
+++ b/member/service.go
@@ -99,6 +99,8 @@
 	Answered time.Duration // How long ago the last answer was.
 	Followed time.Duration // How long ago a VM last knew all changes of the platform; 0 when none is known.
 	News     News          // What the VM that told this knows; not set when it is told.
+	// Delay is how long the heartbeat that told this may have been on its way; not set when it is told.
+	Delay time.Duration
 }
 
 // after returns the span as it is told after a while.
@@ -298,8 +300,11 @@
 	d.beforeStep()
 	d.mu.Lock()
 	id, ok := d.linkIDs[l]
+	var delay time.Duration
+	delayKnown := false
 	if ok {
 		d.view.HandleHeartbeat(time.Now(), id, h)
+		delay, delayKnown = d.view.heartbeatDelay(id)
 	}
 	reports := d.view.PopReceivedReports()
 	d.mu.Unlock()
@@ -314,18 +319,18 @@
 		d.opts.OnNewerGeneration(l.Remote(), h.GetGeneration())
 	}
 	// After the positions: what the other VM knows of the platform holds for a VM that knows its changes.
-	if ok && d.opts.OnStoreSpan != nil {
-		d.opts.OnStoreSpan(readStoreSpan(h))
+	if delayKnown && d.opts.OnStoreSpan != nil {
+		d.opts.OnStoreSpan(readStoreSpan(h, delay))
 	}
 }
 
-// readStoreSpan returns what a heartbeat says.
-func readStoreSpan(h *wire.Heartbeat) StoreSpan {
+// readStoreSpan returns what a heartbeat says that may have been on its way for a delay.
+func readStoreSpan(h *wire.Heartbeat, delay time.Duration) StoreSpan {
 	millisecond := func(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 	return StoreSpan{
 		Steady: millisecond(h.GetSteady()), Answered: millisecond(h.GetAnswered()),
-		Followed: millisecond(h.GetFollowed()),
-		News:     News{Generation: h.GetGeneration(), Roster: h.GetRoster()},
+		Followed: millisecond(h.GetFollowed()), Delay: delay,
+		News: News{Generation: h.GetGeneration(), Roster: h.GetRoster()},
 	}
 }
 
--- a/member/view.go
+++ b/member/view.go
@@ -399,6 +399,9 @@
 func (v *View) HandleHeartbeat(now time.Time, id LinkID, h *wire.Heartbeat) {
 	v.detectPause(now)
 	l := v.link(id)
+	if l != nil {
+		l.delayKnown = false
+	}
 	if l == nil || l.expired || h.GetIncarnation() != l.incarnation {
 		return
 	}
@@ -410,3 +413,13 @@
 	}
 	v.mergeReports(now, l, h.GetReports())
 }
+
+// heartbeatDelay returns how long the last heartbeat of a link may have been on its way. It reports
+// false if nothing shows that.
+func (v *View) heartbeatDelay(id LinkID) (time.Duration, bool) {
+	l := v.link(id)
+	if l == nil {
+		return 0, false
+	}
+	return l.delay, l.delayKnown
+}
