feed, watch: a retry ends one pause; exploration of who asks the store

Cause: a follower that was told to retry while it listed the store kept that mark, so that each heartbeat ended its pause after a failure.

Tests: TestChangesReachAllInTouch explores two watchers and two followers, each lost, cut off, without a path, slow or frozen, from 3 s before a change to 1 s after it, for 1 s or for good: no VM in touch lacks the change after the bound.

--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -305,7 +305,7 @@
 		case <-ctx.Done():
 			return
 		case <-f.news:
-			if f.isCalled() || u.Err != nil && f.isBehind() {
+			if f.takeRetry() || u.Err != nil && f.isBehind() {
 				return
 			}
 		}
@@ -331,18 +331,20 @@
 	f.signalNews()
 }
 
-// isCalled reports whether the platform is to be called without a further pause.
-func (f *Follower) isCalled() bool {
+// takeRetry reports whether the platform is to be called without a further pause.
+func (f *Follower) takeRetry() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.askPending || f.retryPending
+	pending := f.askPending || f.retryPending
+	f.retryPending = false
+	return pending
 }
 
 func (f *Follower) takeAsk() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	pending := f.askPending
-	f.askPending, f.retryPending = false, false
+	f.askPending = false
 	return pending
 }
 
@@ -358,6 +360,7 @@
 func (f *Follower) step(ctx context.Context, listed, allowStale bool) (Update, error) {
 	switch {
 	case !listed:
+		f.takeAsk() // A listing tells more.
 		return f.list(ctx, allowStale)
 	case f.takeAsk():
 		return f.ask(ctx)
