--- a/internal/fleet/feed/path_test.go
+++ b/internal/fleet/feed/path_test.go
@@ -1,11 +1,19 @@
 package feed
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
 )
 
+// Flags for longer runs by hand.
+var (
+	fleetSize    = flag.Int("feed.vms", 0, "number of VMs around whose losses changes are played; 0 for 18 and 50")
+	lossInterval = flag.Duration("feed.loss", 750*time.Millisecond, "time between two moments of a loss that are played")
+	cutInterval  = flag.Duration("feed.cut", 250*time.Millisecond, "time between two moments of a cut that are played")
+)
+
 // pathCase is a set of VMs that lose power and one that loses the path to the platform, without any
 // sign of it: no call of these is answered any more, also none that is open.
 type pathCase struct {
@@ -108,12 +116,16 @@
 // others lose power with a change. Guards against VMs that keep others from asking although the
 // platform does not answer them.
 func TestPatternVMsWithoutAPathAroundAChange(t *testing.T) {
-	const step = 250 * time.Millisecond
-	for _, size := range []int{18, 50} {
+	sizes := []int{18, 50}
+	if *fleetSize > 0 {
+		sizes = []int{*fleetSize}
+	}
+	for _, size := range sizes {
 		for _, c := range pathCases(size) {
 			t.Run(fmt.Sprintf("%d VMs, %s", size, c.name), func(t *testing.T) {
-				for loss := -3 * time.Second; loss <= time.Second; loss += 3 * step {
-					for cut := -3 * time.Second; cut <= time.Second; cut += step {
+				t.Parallel()
+				for loss := -3 * time.Second; loss <= time.Second; loss += *lossInterval {
+					for cut := -3 * time.Second; cut <= time.Second; cut += *cutInterval {
 						inSentryFleet(t, 4, size, func(f *testFleet) { playPathCase(t, f, c, loss, cut) })
 						if t.Failed() {
 							return
--- a/internal/fleet/feed/sentry_test.go
+++ b/internal/fleet/feed/sentry_test.go
@@ -121,16 +121,19 @@
 func TestPatternQuietFleetWithSentries(t *testing.T) {
 	const minutes = 20
 	for _, c := range []struct{ size, zones, callsIn10Min int }{{18, 4, 2180}, {50, 4, 2191}, {178, 6, 2580}} {
-		inSentryFleet(t, c.zones, c.size, func(f *testFleet) {
-			before := f.callsOfAll()
-			for i := range minutes * 60 / 40 {
-				time.Sleep(40 * time.Second)
-				f.set(fmt.Sprint("server-", i))
-			}
-			limit := float64(c.callsIn10Min) * 1.01 * minutes / 10
-			if n := f.callsOfAll() - before; float64(n) > limit {
-				t.Errorf("%d VMs: %d calls in %d min, %d VMs asked, want at most %.0f calls", c.size, n, minutes, f.asksOfAll(), limit)
-			}
+		t.Run(fmt.Sprintf("%d VMs", c.size), func(t *testing.T) {
+			t.Parallel()
+			inSentryFleet(t, c.zones, c.size, func(f *testFleet) {
+				before := f.callsOfAll()
+				for i := range minutes * 60 / 40 {
+					time.Sleep(40 * time.Second)
+					f.set(fmt.Sprint("server-", i))
+				}
+				limit := float64(c.callsIn10Min) * 1.01 * minutes / 10
+				if n := f.callsOfAll() - before; float64(n) > limit {
+					t.Errorf("%d VMs: %d calls in %d min, %d VMs asked, want at most %.0f calls", c.size, n, minutes, f.asksOfAll(), limit)
+				}
+			})
 		})
 	}
 }
