--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -66,10 +66,11 @@
 	// maxShift is the largest share by which a watch is made shorter or longer to end between two
 	// watches of the other kind.
 	maxShift = 0.25
-	// shortWatch is the length of the watch with which the first watcher follows changes, as all
-	// watchers pause after these. The store takes no shorter time. Where the bound leaves time for the
-	// pause and a part of a watch, nobody would ask without it.
-	shortWatch  = time.Millisecond
+	// shortWatch is the length of the watch that the first watcher opens after changes, as all watchers
+	// have paused. The store takes no shorter time.
+	shortWatch = time.Millisecond
+	// partOfWatch is the part of a watch in which one of those of the fleet ends. The short watch is
+	// left out where the first stage comes later than the pause and that part.
 	partOfWatch = 0.25
 	// lateShare is the part of a silence beyond passOnShare by which the watcher that ends it shortens
 	// its next watch, so that the answers to the watchers come at even intervals.
