watch: test of the stages against the bound

Guards against shares that leave no time: a last stage at the bound, stages closer than news travels, a first stage that comes between two answers of a calm fleet.

--- a/internal/fleet/watch/watch_test.go
+++ b/internal/fleet/watch/watch_test.go
@@ -143,3 +143,36 @@
 		t.Errorf("%d watches, want at most %d", count, most)
 	}
 }
+
+// Guards against stages that leave no time to take a change over, or in which VMs ask that the answer
+// to the stage before has not reached. News takes up to 100 ms from VM to VM.
+func TestStagesFitTheBound(t *testing.T) {
+	const (
+		answers = 1100 * time.Millisecond // Between two answers to one of four watchers.
+		news    = 200 * time.Millisecond
+		takeUp  = 200 * time.Millisecond
+	)
+	silence := func(place int, play func(s *State)) time.Duration {
+		s := newState(place)
+		play(s)
+		s.Heard(sec(20), sec(10))
+		due, _ := s.Due()
+		return due.Sub(sec(10))
+	}
+	nothing := func(*State) {}
+	inVain := func(s *State) { s.Asked(sec(9)) }
+	first, second, last := silence(0, nothing), silence(firstStage, nothing), silence(firstStage+secondStage, nothing)
+	if first < answers || second-first < news || last-second < news {
+		t.Errorf("stages at %v, %v and %v", first, second, last)
+	}
+	if latest := max(last, silence(0, inVain)); latest > bound-takeUp {
+		t.Errorf("the last VM asks after %v, %v before the bound", latest, bound-latest)
+	}
+	again := newState(0)
+	again.Asked(sec(9))
+	again.Answered("a", sec(10), false)
+	again.Answered("b", sec(10), false)
+	if due, _ := again.Due(); due.Sub(sec(10)) < answers || due.Sub(sec(10)) > first {
+		t.Errorf("the VM that was answered last asks after %v, the first of the others after %v", due.Sub(sec(10)), first)
+	}
+}
