--- a/internal/fleet/feed/fleet_test.go
+++ b/internal/fleet/feed/fleet_test.go
@@ -149,7 +149,7 @@
 	silent     atomic.Bool // Its watches get no response.
 	down       atomic.Bool // The VM neither answers nor sends.
 	updates    chan Update
-	place      atomic.Int64 // Among those that ask; the number of these for a watcher.
+	place      atomic.Int64 // Among those that ask; watchers have the places after these.
 	askers     atomic.Int64 // Their number; 0 while nobody asks.
 	asks       atomic.Int64
 	tellNow    atomic.Bool // A heartbeat is due.
